Answer operators on the second address: readiness and figures

Counters sit where the event happens: the final answer in server.rs, the attempt when the wire has taken its last byte. Levels are asked of their owners; 'excluded' of the module. Not taken: prometheus-client.

--- a/agent/src/backend.rs
+++ b/agent/src/backend.rs
@@ -1,6 +1,7 @@
 //! Attempts and probes: a message out, what comes back told as an outcome.
 
 use crate::budget::{Budget, Portion};
+use crate::metrics::ClassCounters;
 use crate::pool::{Lease, Place, Pool};
 use crate::wire::View;
 use bytes::Bytes;
@@ -39,6 +40,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// What counts its attempts; probes have none.
+    pub counters: Option<Rc<ClassCounters>>,
     /// The memory that the body holds.
     pub _portion: Option<Portion>,
 }
@@ -138,6 +141,7 @@
             progress.0.set(true);
             let view = lease.view.clone();
             let (before, received) = (view.written(), view.received());
+            view.count_after(least, call.counters.clone());
             let answer = self.exchange(&mut lease, message(call, place.address, until)).await;
             let written = view.written() - before;
             self.pool.note(&lease, answer.is_err() && view.received() == received);
@@ -200,7 +204,7 @@
     pub async fn probe(&self, place: Place) -> Ended {
         let uri = Uri::from_static(if self.has_reports { "/stats" } else { "/health/live" });
         let (headers, body) = (HeaderMap::new(), Bytes::new());
-        let call = Call { method: Method::GET, uri, headers, body, _portion: None };
+        let call = Call { method: Method::GET, uri, headers, body, counters: None, _portion: None };
         let until = Instant::now() + PROBE_WAIT;
         let progress = Progress::default();
         let Ok(mut ended) = timeout_at(until, self.attempt(place, &call, until, &progress, || true)).await
@@ -299,7 +303,14 @@
 
     fn post(body: usize) -> Call {
         let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
-        Call { method: Method::POST, uri, headers, body: vec![7; body].into(), _portion: None }
+        Call {
+            method: Method::POST,
+            uri,
+            headers,
+            body: vec![7; body].into(),
+            counters: None,
+            _portion: None,
+        }
     }
 
     async fn attempt(address: SocketAddr, body: usize, may_send: bool) -> Outcome {
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -28,6 +28,8 @@
     #[serde(default)]
     discovery: Option<String>,
     #[serde(default)]
+    ops: Option<String>,
+    #[serde(default)]
     seed: Option<serde_json::Value>,
     #[serde(default)]
     limits: Limits,
@@ -49,6 +51,8 @@
     pub listen: SocketAddr,
     /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// Most connections of clients that are held at once.
@@ -65,13 +69,22 @@
     pub settings: SettingsFile,
 }
 
+/// Addresses that the environment gives; they overrule those of the file.
+#[derive(Default)]
+struct Places {
+    listen: Option<String>,
+    discovery: Option<String>,
+    ops: Option<String>,
+}
+
 impl Config {
-    /// Reads the file that `LB_CONFIG` names; `LB_LISTEN` and `LB_DISCOVERY` overrule what it says.
+    /// Reads the file that `LB_CONFIG` names; `LB_LISTEN`, `LB_DISCOVERY` and `LB_OPS` overrule what it says.
     pub fn from_env() -> Result<Config, String> {
         let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
         let path = var("LB_CONFIG").ok_or("LB_CONFIG is not set; it must name the configuration file")?;
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        Config::parse(&text, var("LB_LISTEN"), var("LB_DISCOVERY")).map_err(|e| format!("{path}: {e}"))
+        let places = Places { listen: var("LB_LISTEN"), discovery: var("LB_DISCOVERY"), ops: var("LB_OPS") };
+        Config::parse(&text, places).map_err(|e| format!("{path}: {e}"))
     }
 
     /// Reads the file once more, at the operators' signal: where discovery listens now, as the file has it. The
@@ -87,7 +100,7 @@
         moved.discovery.parse().map_err(|e| format!("{path}: discovery address {:?}: {e}", moved.discovery))
     }
 
-    fn parse(text: &[u8], listen: Option<String>, discovery: Option<String>) -> Result<Config, String> {
+    fn parse(text: &[u8], places: Places) -> Result<Config, String> {
         let file: File = serde_json::from_slice(text).map_err(|e| format!("not a configuration: {e}"))?;
         let address = |what: &str, text: Option<String>| {
             let text = text.ok_or_else(|| format!("no {what} address is given"))?;
@@ -105,8 +118,9 @@
         let memory = file.limits.memory_mb.unwrap_or(MEMORY_DEFAULT).max(MEMORY_LEAST) * 1024.0 * 1024.0;
         let clients = (memory * CLIENTS_SHARE / CLIENT_BYTES) as usize;
         Ok(Config {
-            listen: address("listen", listen.or(file.listen))?,
-            discovery: address("discovery", discovery.or(file.discovery))?,
+            listen: address("listen", places.listen.or(file.listen))?,
+            discovery: address("discovery", places.discovery.or(file.discovery))?,
+            ops: places.ops.or(file.ops).map(|text| address("ops", Some(text))).transpose()?,
             seed: file.seed.map_or(0, |seed| seed_number(&seed)),
             client_connections: clients.min(usable / 2),
             // Clients may hold a third of the descriptors for requests; those that keep what they don't use must leave
@@ -137,7 +151,7 @@
     const SETTINGS: &str = r#"{"classes":[{"name":"read","aimMs":200.0,"deadlineMs":400.0,"points":1.0}]}"#;
 
     fn parse(text: &str) -> Result<Config, String> {
-        Config::parse(text.as_bytes(), None, None)
+        Config::parse(text.as_bytes(), Places::default())
     }
 
     #[test]
@@ -150,10 +164,14 @@
         assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
         assert!(config.client_connections + config.backend_connections + RESERVE <= 1024);
         let small = text.replace("\"cores\"", "\"memory_mb\":32,\"cores\"");
-        let small = Config::parse(small.as_bytes(), None, None).expect("usable");
+        let small = parse(&small).expect("usable");
         let held = small.client_connections as f64 * CLIENT_BYTES + small.body_bytes as f64;
         assert!(held <= 16.0 * 1024.0 * 1024.0 && small.client_connections > 250);
-        let over = Config::parse(text.as_bytes(), Some("127.0.0.2:90".into()), None).expect("usable");
+        let over = Config::parse(
+            text.as_bytes(),
+            Places { listen: Some("127.0.0.2:90".into()), ..Places::default() },
+        )
+        .expect("usable");
         assert_eq!(over.listen.to_string(), "127.0.0.2:90");
     }
 
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -3,6 +3,7 @@
 use crate::backend::{Backends, Call, Ended, Progress, Served};
 use crate::discovery::{Commands, ListReply, State, Target};
 use crate::log::log;
+use crate::metrics::Levels;
 use crate::pool::{Place, Pool};
 use hyper::header::HeaderValue;
 use ryelead::*;
@@ -234,6 +235,13 @@
         self.0.core.borrow().servers.values().any(|s| s.serving)
     }
 
+    /// How many servers the list holds, and how many of those the module avoids now.
+    pub fn levels(&self) -> Levels {
+        let core = self.0.core.borrow();
+        let known = core.servers.values().filter(|s| !s.gone).count();
+        Levels { known, excluded: core.balancer.excluded(self.0.clock.now()) }
+    }
+
     fn pool(&self) -> &Pool {
         self.0.backends.pool()
     }
@@ -578,7 +586,14 @@
 
     fn submit(driver: &Driver) -> (RequestId, oneshot::Receiver<Answer>) {
         let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
-        let call = Call { method: Method::GET, uri, headers, body: bytes::Bytes::new(), _portion: None };
+        let call = Call {
+            method: Method::GET,
+            uri,
+            headers,
+            body: bytes::Bytes::new(),
+            counters: None,
+            _portion: None,
+        };
         let deadline = Instant::now() + Duration::from_secs(60);
         let (class, tenant, key, cost_hint, repeat) = (ClassId(0), None, None, None, false);
         let arrival = Arrival { class, tenant, key, cost_hint, repeat, deadline };
--- a/agent/src/intake.rs
+++ b/agent/src/intake.rs
@@ -3,6 +3,7 @@
 use crate::backend::{Call, BODY_MOST};
 use crate::budget::Budget;
 use crate::driver::Arrival;
+use crate::metrics::ClassCounters;
 use crate::seats::Seat;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -29,6 +30,10 @@
 
 /// A request class, as far as clients are concerned.
 pub struct Class {
+    /// Its number in the module.
+    pub id: ClassId,
+    /// What counts its requests.
+    pub counters: Rc<ClassCounters>,
     /// Its name.
     pub name: String,
     /// What may be repeated.
@@ -40,7 +45,7 @@
 /// What requests are checked against.
 pub struct Catalogue {
     /// The classes.
-    pub classes: Vec<Class>,
+    pub classes: Vec<Rc<Class>>,
     /// The tenants' names.
     pub tenants: Vec<String>,
     /// The memory for bodies.
@@ -59,6 +64,18 @@
     pub bytes: Option<u64>,
 }
 
+/// What the head alone shows of a request that can be passed on.
+pub struct Checked {
+    /// Its class; a new configuration does not change it any more.
+    pub class: Rc<Class>,
+    call_id: HeaderValue,
+    budget: Duration,
+    head_bytes: u64,
+    /// Its head.
+    head: hyper::http::request::Parts,
+    body: Incoming,
+}
+
 /// Why a request is turned away.
 pub type Fault = (StatusCode, &'static str);
 
@@ -75,17 +92,23 @@
 }
 
 impl Catalogue {
-    /// Reads and checks a request; whatever is wrong with it ends here.
-    pub async fn take(&self, seat: &Seat, request: Request<Incoming>) -> Result<Taken, Fault> {
+    /// Checks the head of a request.
+    pub fn check(&self, seat: &Seat, request: Request<Incoming>) -> Result<Checked, Fault> {
         let (head, body) = request.into_parts();
-        let checked = self.check(seat, &head, &body);
-        let (class, call_id, budget, head_bytes) = match checked {
-            Ok(checked) => checked,
+        match self.check_head(seat, &head, &body) {
+            Ok((class, call_id, budget, head_bytes)) => {
+                Ok(Checked { class, call_id, budget, head_bytes, head, body })
+            }
             Err(fault) => {
                 discard(body);
-                return Err(fault);
+                Err(fault)
             }
-        };
+        }
+    }
+
+    /// Reads the rest of a request; whatever is wrong with it ends here.
+    pub async fn read(&self, seat: &Seat, checked: Checked) -> Result<Taken, Fault> {
+        let Checked { class, call_id, budget, head_bytes, head, body } = checked;
         let stated = body.size_hint().exact();
         let Some(portion) = self.bodies.take(stated.map_or(BODY_MOST, |bytes| bytes as usize)) else {
             discard(body);
@@ -102,11 +125,11 @@
         let bytes = stated.map(|body| head_bytes + body);
         check_end(seat, bytes)?;
         // The client's time runs from the last byte of its request, which has just come.
-        let deadline = Instant::now() + budget.min(self.classes[class].deadline);
+        let deadline = Instant::now() + budget.min(class.deadline);
         let cost = text(&head.headers, "x-call-cost").and_then(|t| t.parse::<f64>().ok());
         let tenant = text(&head.headers, "x-caller");
         let arrival = Arrival {
-            class: ClassId(class),
+            class: class.id,
             tenant: tenant.and_then(|t| self.tenants.iter().position(|n| n == t)).map(TenantId),
             key: one(&head.headers, "x-route-hash").map(|key| KeyId(hash(key.as_bytes()))),
             cost_hint: cost.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span::from_ms(us / 1e3)),
@@ -121,17 +144,24 @@
         }
         let parts = head.uri.into_parts();
         let uri = parts.path_and_query.map(Into::into).unwrap_or_default();
-        let call = Call { method: head.method, uri, headers, body, _portion: Some(portion) };
+        let call = Call {
+            method: head.method,
+            uri,
+            headers,
+            body,
+            counters: Some(Rc::clone(&class.counters)),
+            _portion: Some(portion),
+        };
         Ok(Taken { call, call_id, arrival, bytes })
     }
 
     /// What the head alone shows: the class, the name, the client's time and the head's length.
-    fn check(
+    fn check_head(
         &self,
         seat: &Seat,
         head: &hyper::http::request::Parts,
         body: &Incoming,
-    ) -> Result<(usize, HeaderValue, Duration, u64), Fault> {
+    ) -> Result<(Rc<Class>, HeaderValue, Duration, u64), Fault> {
         // One that was not seen from its first byte came together with the request before it.
         let raw = seat.view().head();
         let head_bytes = raw.len().ok_or(bad("one request at a time"))?;
@@ -140,10 +170,10 @@
         }
         let name = text(&head.headers, "x-call-class").ok_or(bad("X-Call-Class is missing"))?;
         let first = head.uri.path().split('/').nth(1).unwrap_or_default();
-        let class = self.classes.iter().position(|class| class.name == name);
+        let class = self.classes.iter().find(|class| class.name == name);
         let class = class.filter(|_| first == name).ok_or(bad("no such class"))?;
         let keyed = one(&head.headers, IDEMPOTENCY_KEY.as_str()).is_some();
-        let fits = match self.classes[class].effect {
+        let fits = match class.effect {
             Effect::Idempotent => head.method == Method::GET && body.is_end_stream(),
             Effect::Deduplicated { .. } => head.method == Method::POST && keyed,
             Effect::AtMostOnce => head.method == Method::POST && !keyed,
@@ -161,7 +191,7 @@
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
         }
-        Ok((class, call_id, Duration::from_millis(budget), head_bytes))
+        Ok((Rc::clone(class), call_id, Duration::from_millis(budget), head_bytes))
     }
 }
 
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -8,6 +8,8 @@
 mod head;
 mod intake;
 mod log;
+mod metrics;
+mod ops;
 mod pool;
 mod rest;
 mod seats;
@@ -21,6 +23,7 @@
 use driver::Driver;
 use intake::{Catalogue, Class};
 use log::log;
+use metrics::Metrics;
 use pool::Pool;
 use ryelead::{Discovery, ReportSource, Settings, Span};
 use server::Server;
@@ -78,7 +81,11 @@
     // The protocol lets every refusal say when to come back.
     let settings = Settings { retry_after: true, ..file.settings() };
     let classes = file.class_names().into_iter().zip(&settings.classes);
-    let classes = classes.map(|(name, c)| Class { name, effect: c.effect, deadline: length(c.deadline) });
+    let metrics = Rc::new(Metrics::default());
+    let classes = classes.enumerate().map(|(number, (name, c))| {
+        let (id, counters) = (ryelead::ClassId(number), metrics.class(&name));
+        Rc::new(Class { id, counters, name, effect: c.effect, deadline: length(c.deadline) })
+    });
     let classes = classes.collect();
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let pushed = settings.discovery == Discovery::Pushed;
@@ -103,12 +110,19 @@
     spawn_local(discovery::run(driver.clone(), commands, version, pushed));
 
     let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies };
-    let server = Server::new(driver, catalogue, config.client_connections, config.client_crowd);
+    let server = Server::new(driver, catalogue, metrics, config.client_connections, config.client_crowd);
     spawn_local(Rc::clone(&server).sweep());
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
+    if let Some(ops) = config.ops {
+        let ops =
+            TcpListener::bind(ops).await.map_err(|e| format!("cannot listen for operators on {ops}: {e}"))?;
+        let place = ops.local_addr().map_err(|e| e.to_string())?;
+        spawn_local(ops::run(ops, Rc::clone(&server)));
+        log(&format!("operators may call at {place}"));
+    }
     log(&format!("listening on {address}"));
     tokio::select! {
         () = server.accept(&listener) => {}
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -3,6 +3,8 @@
 use crate::driver::{Answer, Driver};
 use crate::intake::{check_end, Catalogue, Taken};
 use crate::log::log;
+use crate::metrics::{ClassCounters, Metrics};
+use crate::ops::Shown;
 use crate::seats::{End, Seat, Seats};
 use crate::wire::{Gauge, Wire};
 use bytes::Bytes;
@@ -38,6 +40,8 @@
 pub struct Server {
     driver: Driver,
     catalogue: Catalogue,
+    metrics: Rc<Metrics>,
+    listening: Cell<bool>,
     seats: Seats,
     open: Gauge,
     open_most: usize,
@@ -48,13 +52,20 @@
 
 impl Server {
     /// Serves nobody yet.
-    pub fn new(driver: Driver, catalogue: Catalogue, open_most: usize, crowd: (usize, usize)) -> Rc<Self> {
-        let (seats, open, stopping) = Default::default();
-        Rc::new(Server { driver, catalogue, seats, open, open_most, crowd, stopping })
+    pub fn new(
+        driver: Driver,
+        catalogue: Catalogue,
+        metrics: Rc<Metrics>,
+        open_most: usize,
+        crowd: (usize, usize),
+    ) -> Rc<Self> {
+        let (seats, open, stopping, listening) = Default::default();
+        Rc::new(Server { driver, catalogue, metrics, listening, seats, open, open_most, crowd, stopping })
     }
 
     /// Accepts connections until dropped.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        self.listening.set(true);
         loop {
             // A connection that waits in the backlog has been accepted as far as its client can tell, so room
             // is made before it is needed.
@@ -107,7 +118,19 @@
     pub fn owed(&self) -> usize {
         self.seats.owed()
     }
+}
+
+impl Shown for Server {
+    fn is_ready(&self) -> bool {
+        self.listening.get() && !self.stopping.get() && self.driver.can_decide()
+    }
+
+    fn figures(&self) -> String {
+        self.metrics.render(&self.driver.levels())
+    }
+}
 
+impl Server {
     async fn converse(self: &Rc<Self>, seat: &Rc<Seat>, wire: Wire) {
         let service = service_fn(|request| {
             let (server, seat) = (Rc::clone(self), Rc::clone(seat));
@@ -161,16 +184,24 @@
             let ready = self.driver.can_decide();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
-        let answer = match self.catalogue.take(seat, request).await {
+        let checked = match self.catalogue.check(seat, request) {
+            Ok(checked) => checked,
+            Err((status, why)) => return turned_away(status, why),
+        };
+        let counters = Rc::clone(&checked.class.counters);
+        let answer = match self.catalogue.read(seat, checked).await {
             Ok(taken) => {
                 seat.take();
+                let _in_flight = self.metrics.take();
                 let bytes = taken.bytes;
                 let answer = self.pass_on(taken).await;
                 check_end(seat, bytes).map(|()| answer)
             }
             Err(fault) => Err(fault),
         };
-        answer.unwrap_or_else(|(status, why)| turned_away(status, why))
+        let answer = answer.unwrap_or_else(|(status, why)| turned_away(status, why));
+        count(&counters, answer.status());
+        answer
     }
 
     async fn pass_on(&self, taken: Taken) -> Response<Full<Bytes>> {
@@ -210,6 +241,15 @@
     }
 }
 
+/// The one point where a request's final answer is counted, as the protocol words it.
+fn count(counters: &ClassCounters, status: StatusCode) {
+    match status {
+        StatusCode::OK => counters.served.add(),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => counters.refused.add(),
+        _ => counters.failed.add(),
+    }
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *answer.status_mut() = status;
--- a/agent/src/wire.rs
+++ b/agent/src/wire.rs
@@ -2,6 +2,7 @@
 //! has closed, and what the head of a request says of its length.
 
 use crate::head::Head;
+use crate::metrics::ClassCounters;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -61,9 +62,22 @@
     /// The head of the request that is being read, on a client's connection.
     head: Option<RefCell<Head>>,
     arrived: Notify,
+    /// Counts an attempt once so many bytes have been written.
+    tally: RefCell<Option<(u64, Rc<ClassCounters>)>>,
 }
 
 impl Meter {
+    /// The one point where an attempt is counted: the machine has taken its last byte.
+    fn give_out(&self, bytes: usize) {
+        let written = self.written.get() + bytes as u64;
+        self.written.set(written);
+        self.stuck_since.set(None);
+        let mut tally = self.tally.borrow_mut();
+        if let Some((_, counters)) = tally.take_if(|(goal, _)| written >= *goal) {
+            counters.attempts.add();
+        }
+    }
+
     fn take_in(&self, bytes: &[u8]) -> io::Result<()> {
         self.received.set(self.received.get() + bytes.len() as u64);
         if let Some(left) = self.allowance.get() {
@@ -125,6 +139,11 @@
         self.meter.allowance.set(Some(allowance));
     }
 
+    /// Counts an attempt for `counters` when `bytes` more than now have been written.
+    pub fn count_after(&self, bytes: u64, counters: Option<Rc<ClassCounters>>) {
+        *self.meter.tally.borrow_mut() = counters.map(|counters| (self.written() + bytes, counters));
+    }
+
     /// True if an idle connection still is one: nothing has come on it, no close and no error either. Asked of the
     /// kernel, since the runtime may not have looked at the socket for a while.
     pub fn is_quiet(&self) -> bool {
@@ -213,8 +232,7 @@
             }
             match write(&self.stream) {
                 Ok(n) => {
-                    self.meter.written.set(self.meter.written.get() + n as u64);
-                    self.meter.stuck_since.set(None);
+                    self.meter.give_out(n);
                     return Poll::Ready(Ok(n));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/agent/tests/loopback/common.rs
+++ b/agent/tests/loopback/common.rs
@@ -268,9 +268,16 @@
     )
 }
 
+/// A configuration with a place for operators.
+pub fn with_ops(config: &str) -> String {
+    config.replacen('{', r#"{"ops":"127.0.0.1:0","#, 1)
+}
+
 pub struct Agent {
     pub child: Child,
     pub address: SocketAddr,
+    /// Where operators call, if the configuration has such a place.
+    pub ops: Option<SocketAddr>,
     config: PathBuf,
 }
 
@@ -286,7 +293,7 @@
 
 pub fn command(config: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_dilljunction"));
-    command.env("LB_CONFIG", config).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY");
+    command.env("LB_CONFIG", config).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY").env_remove("LB_OPS");
     command.stderr(Stdio::piped());
     command
 }
@@ -310,22 +317,51 @@
         let script = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_dilljunction"));
         let config = config_file(config);
         shell.args(["-c", &script]).env("LB_CONFIG", &config).stderr(Stdio::piped());
-        Agent::watch(shell.env_remove("LB_LISTEN").env_remove("LB_DISCOVERY").spawn().unwrap(), config)
+        Agent::watch(
+            shell.env_remove("LB_LISTEN").env_remove("LB_DISCOVERY").env_remove("LB_OPS").spawn().unwrap(),
+            config,
+        )
     }
 
     fn watch(mut child: Child, config: PathBuf) -> Agent {
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
+        let (mut line, mut ops) = (String::new(), None);
         let address = loop {
             line.clear();
             assert!(log.read_line(&mut line).unwrap() > 0, "the agent has ended at its start");
+            if let Some((_, place)) = line.split_once("operators may call at ") {
+                ops = Some(place.trim().parse().unwrap());
+            }
             if let Some((_, address)) = line.split_once("listening on ") {
                 break address.trim().parse().unwrap();
             }
         };
         // The log is read to its end, or a full pipe would stop the agent.
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Agent { child, address, config }
+        Agent { child, address, ops, config }
+    }
+
+    /// One call to the operators' address.
+    pub fn call(&self, method: &str, path: &str) -> Message {
+        let mut stream = TcpStream::connect(self.ops.expect("a place for operators")).unwrap();
+        stream.set_read_timeout(Some(BOUND)).unwrap();
+        write!(stream, "{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n").unwrap();
+        Message::read(&mut BufReader::new(stream)).expect("an answer")
+    }
+
+    /// A figure as operators read it.
+    pub fn figure(&self, name: &str) -> Option<f64> {
+        let page = String::from_utf8(self.call("GET", "/-/metrics").body).unwrap();
+        page.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' ')?.parse().ok())
+    }
+
+    /// Waits until a figure has this value.
+    pub fn wait_figure(&self, name: &str, value: f64) {
+        let start = Instant::now();
+        while self.figure(name) != Some(value) {
+            assert!(start.elapsed() < BOUND, "{name} is {:?}, not {value}", self.figure(name));
+            thread::yield_now();
+        }
     }
 
     /// An agent that knows these backends from the start, and a discovery that lists the same.
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod limits;
 mod lists;
+mod ops;
 mod outcomes;
 mod reload;
 mod spoilt;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -160,6 +160,13 @@
     on_trial: bool,
 }
 
+impl Suspicion {
+    /// Nothing goes to a suspect but one request at a time, at the times of its trials.
+    fn shut(&self, now: Time) -> bool {
+        self.on_trial || now < self.next_trial
+    }
+}
+
 struct Server {
     listed: Listed,
     in_flight: u32,
@@ -308,6 +315,16 @@
         }
     }
 
+    /// How many listed servers get nothing new now: those that drain, and suspects but for one whose trial is due.
+    pub fn excluded(&self, now: Time) -> usize {
+        let avoided = |&&i: &&usize| match self.servers[i].listed.status {
+            Status::Serving => self.servers[i].suspicion.as_ref().is_some_and(|q| q.shut(now)),
+            Status::Draining => true,
+            Status::Gone => false,
+        };
+        self.index.values().filter(avoided).count()
+    }
+
     // ---- a request comes in -------------------------------------------------------------------------
 
     fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
@@ -569,7 +586,7 @@
         lawful
             && s.listed.status == Status::Serving
             && self.has_room(now, server)
-            && s.suspicion.as_ref().is_none_or(|q| !q.on_trial && now >= q.next_trial)
+            && !s.suspicion.as_ref().is_some_and(|q| q.shut(now))
     }
 
     /// Room by the reported load or, where balancers are few, by the learned limit.
