--- a/src/decide.rs
+++ b/src/decide.rs
@@ -315,7 +315,7 @@
         }
     }
 
-    /// How many listed servers get nothing new now: those that drain, and suspects but for one whose trial is due.
+    /// How many listed servers get nothing new now: those that drain, and suspects whose trial is not due.
     pub fn excluded(&self, now: Time) -> usize {
         let avoided = |&&i: &&usize| match self.servers[i].listed.status {
             Status::Serving => self.servers[i].suspicion.as_ref().is_some_and(|q| q.shut(now)),
