Take settings and discovery together at SIGHUP, or nothing

The whole file is parsed and compared with the one in force before anything changes: a key that the old file had and the new one lacks is a fault, named in one log line. agent/src/reload.rs owns the file in force and the class numbers; the module hears Event::Settings. A class with other terms is another number, so what is under way keeps its effect, deadline and attempts; numbers are never reused, and the module drops a vanished class after 60 s. Counters go by name and stay. Not taken: a fixed list of required keys; it would turn down files that leave out what they never had. Retry-After now goes out only where the settings allow it (the agent forced it on).

--- a/agent/src/backend.rs
+++ b/agent/src/backend.rs
@@ -8,8 +8,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use ryelead::Outcome;
-use std::cell::Cell;
+use ryelead::{Outcome, ReportSource, Settings, Span};
+use ryelead_settings::SettingsFile;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -103,16 +104,24 @@
 pub struct Backends {
     pool: Rc<Pool>,
     bodies: Rc<Budget>,
-    fields: Vec<String>,
-    has_reports: bool,
+    fields: RefCell<Vec<String>>,
+    has_reports: Cell<bool>,
 }
 
 impl Backends {
     /// `fields` are the names in a load report, empty where there are none.
     pub fn new(pool: Rc<Pool>, bodies: Rc<Budget>, fields: Vec<String>, has_reports: bool) -> Rc<Self> {
+        let (fields, has_reports) = (RefCell::new(fields), Cell::new(has_reports));
         Rc::new(Backends { pool, bodies, fields, has_reports })
     }
 
+    /// Takes over new settings; what is under way goes on as it began.
+    pub fn revise(&self, file: &SettingsFile, settings: &Settings) {
+        *self.fields.borrow_mut() = file.report_names().to_vec();
+        self.has_reports.set(settings.report_source != ReportSource::None);
+        self.pool.revise(connect_timeout(file), keepalive(file));
+    }
+
     /// The connections.
     pub fn pool(&self) -> &Pool {
         &self.pool
@@ -202,7 +211,7 @@
 
     /// Asks a server how it is.
     pub async fn probe(&self, place: Place) -> Ended {
-        let uri = Uri::from_static(if self.has_reports { "/stats" } else { "/health/live" });
+        let uri = Uri::from_static(if self.has_reports.get() { "/stats" } else { "/health/live" });
         let (headers, body) = (HeaderMap::new(), Bytes::new());
         let call = Call { method: Method::GET, uri, headers, body, counters: None, _portion: None };
         let until = Instant::now() + PROBE_WAIT;
@@ -219,17 +228,27 @@
 
     /// A load report in the order of the settings; `None` if it can't be read, lacks a field or is absurd.
     fn report(&self, text: &[u8]) -> Option<Vec<f64>> {
-        if !self.has_reports {
+        if !self.has_reports.get() {
             return None;
         }
         let text = std::str::from_utf8(text).ok()?;
         let text = text.trim();
         let pairs: Option<HashMap<&str, f64>> = text.split(',').map(pair).collect();
         let pairs = pairs?;
-        self.fields.iter().map(|field| pairs.get(field.as_str()).copied()).collect()
+        self.fields.borrow().iter().map(|field| pairs.get(field.as_str()).copied()).collect()
     }
 }
 
+/// A connection that is not up by then has failed.
+pub fn connect_timeout(file: &SettingsFile) -> Duration {
+    Duration::from_micros(file.connect_timeout().unwrap_or(Span::from_ms(250.0)).0)
+}
+
+/// A backend closes a connection that has stood idle this long.
+pub fn keepalive(file: &SettingsFile) -> Duration {
+    Duration::from_micros(file.keepalive().unwrap_or(Span::from_ms(10_000.0)).0)
+}
+
 fn pair(text: &str) -> Option<(&str, f64)> {
     let (name, value) = text.split_once('=')?;
     let value: f64 = value.trim().parse().ok()?;
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -3,6 +3,7 @@
 use crate::discovery::ListReply;
 use ryelead_settings::SettingsFile;
 use serde::Deserialize;
+use serde_json::Value;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -30,7 +31,7 @@
     #[serde(default)]
     ops: Option<String>,
     #[serde(default)]
-    seed: Option<serde_json::Value>,
+    seed: Option<Value>,
     #[serde(default)]
     limits: Limits,
     #[serde(default)]
@@ -67,6 +68,49 @@
     pub known: Option<ListReply>,
     /// The settings object.
     pub settings: SettingsFile,
+    /// The file as it was read.
+    shape: Value,
+}
+
+/// What a file that was read again changes.
+pub struct Revised {
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// The settings object.
+    pub settings: SettingsFile,
+    shape: Value,
+}
+
+/// Keys that a file may do without though the one before it had them: the list and the seed serve a start only, and the
+/// settings' own page lets the others be absent.
+const SPARED: [&str; 5] = ["known", "seed", "aimStretch", "passesDeadline", "warmKeys"];
+/// What every class must say. At a start an absent key takes a safe default; in a file that replaces one in service it
+/// is rather a file that has lost a line.
+const CLASS_KEYS: [&str; 4] = ["name", "effect", "aimMs", "deadlineMs"];
+
+fn read(text: &[u8]) -> Result<Value, String> {
+    if text.trim_ascii().is_empty() {
+        return Err("the file is empty".into());
+    }
+    serde_json::from_slice(text).map_err(|e| format!("not a configuration: {e}"))
+}
+
+/// The first key that the old file holds and the new one lacks, or that a class lacks.
+fn missing(old: &Value, new: &Value, path: &str) -> Option<String> {
+    let Value::Object(old) = old else { return None };
+    let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+    let mut kept = old.iter().filter(|(key, value)| !value.is_null() && !SPARED.contains(&key.as_str()));
+    kept.find_map(|(key, value)| {
+        let Some(other) = new.get(key).filter(|v| !v.is_null()) else { return Some(below(key)) };
+        if path == "settings" && key == "classes" {
+            let mut classes = other.as_array().into_iter().flatten();
+            return classes.find_map(|class| {
+                let key = CLASS_KEYS.iter().find(|key| class.get(**key).is_none())?;
+                Some(format!("{key} of a class"))
+            });
+        }
+        missing(value, other, &below(key))
+    })
 }
 
 /// Addresses that the environment gives; they overrule those of the file.
@@ -87,29 +131,46 @@
         Config::parse(&text, places).map_err(|e| format!("{path}: {e}"))
     }
 
-    /// Reads the file once more, at the operators' signal: where discovery listens now, as the file has it. The
-    /// environment is as old as the process and has no say here. Nothing else changes without a restart.
-    pub fn reread_discovery() -> Result<SocketAddr, String> {
-        #[derive(Deserialize)]
-        struct Moved {
-            discovery: String,
-        }
+    /// Reads the file once more, at the operators' signal. The environment is as old as the process and has no say
+    /// here. Addresses and limits of this process do not change without a restart.
+    pub fn reread(&self) -> Result<Revised, String> {
         let path = std::env::var("LB_CONFIG").map_err(|e| format!("LB_CONFIG: {e}"))?;
         let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        let moved: Moved = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
-        moved.discovery.parse().map_err(|e| format!("{path}: discovery address {:?}: {e}", moved.discovery))
+        self.check(&text).map_err(|e| format!("{path}: {e}"))
+    }
+
+    /// Takes a file only if it is whole: it must hold what the one in force holds, and be usable itself.
+    fn check(&self, text: &[u8]) -> Result<Revised, String> {
+        let shape = read(text)?;
+        if let Some(key) = missing(&self.shape, &shape, "") {
+            return Err(format!("{key} is missing"));
+        }
+        let Config { discovery, settings, .. } = Config::parse(text, Places::default())?;
+        Ok(Revised { discovery, settings, shape })
+    }
+
+    /// What has been taken is in force from now on.
+    pub fn revise(&mut self, revised: Revised) {
+        let Revised { discovery, settings, shape } = revised;
+        (self.discovery, self.settings, self.shape) = (discovery, settings, shape);
     }
 
     fn parse(text: &[u8], places: Places) -> Result<Config, String> {
         let file: File = serde_json::from_slice(text).map_err(|e| format!("not a configuration: {e}"))?;
+        let shape = read(text)?;
         let address = |what: &str, text: Option<String>| {
             let text = text.ok_or_else(|| format!("no {what} address is given"))?;
             text.parse::<SocketAddr>().map_err(|e| format!("{what} address {text:?}: {e}"))
         };
         file.settings.settings().validate().map_err(|e| e.to_string())?;
-        if file.settings.class_names().iter().any(String::is_empty) {
+        let mut names = file.settings.class_names();
+        if names.iter().any(String::is_empty) {
             return Err("a request class has no name".into());
         }
+        names.sort();
+        if let Some(twice) = names.windows(2).find(|pair| pair[0] == pair[1]) {
+            return Err(format!("two request classes are named {:?}", twice[0]));
+        }
         let sockets = file.limits.sockets.unwrap_or(SOCKETS_DEFAULT);
         if sockets < SOCKETS_LEAST {
             return Err(format!("limits.sockets is {sockets}; at least {SOCKETS_LEAST} are needed"));
@@ -130,12 +191,13 @@
             body_bytes: (memory * BODIES_SHARE) as usize,
             known: file.known,
             settings: file.settings,
+            shape,
         })
     }
 }
 
 /// The seed is hexadecimal text; whatever else stands there still gives some number.
-fn seed_number(seed: &serde_json::Value) -> u64 {
+fn seed_number(seed: &Value) -> u64 {
     let hex = seed.as_str().and_then(|text| u64::from_str_radix(text, 16).ok());
     hex.unwrap_or_else(|| {
         let mut hasher = DefaultHasher::new();
@@ -175,6 +237,41 @@
         assert_eq!(over.listen.to_string(), "127.0.0.2:90");
     }
 
+    /// A file that has lost something is turned down with the name of what it lacks.
+    #[test]
+    fn a_new_file_is_taken_whole_or_not_at_all() {
+        let text = r#"{"listen":"127.0.0.1:80","discovery":"127.0.0.1:81","known":{"rev":1,"targets":[]},"settings":{
+            "classes":[{"name":"read","effect":"idempotent","aimMs":200.0,"deadlineMs":400.0,"points":1.0}],
+            "limits":{"maxAttempts":3},"rules":{"coldShare":0.3}}}"#;
+        let config = parse(text).expect("usable");
+        let moved = config.check(text.replace("127.0.0.1:81", "127.0.0.1:82").as_bytes()).expect("usable");
+        assert_eq!(moved.discovery.port(), 82);
+        assert!(config.check(text.replace(r#""known":{"rev":1,"targets":[]},"#, "").as_bytes()).is_ok());
+        for (old, new, fault) in [
+            (text, "", "empty"),
+            (text, " \n", "empty"),
+            (text, &text[..text.len() / 2], "not a configuration"),
+            (text, "[]", "missing"),
+            ("\"discovery\"", "\"discover\"", "discovery is missing"),
+            ("\"settings\"", "\"setting\"", "settings is missing"),
+            ("\"classes\"", "\"class\"", "settings.classes is missing"),
+            ("\"maxAttempts\"", "\"attempts\"", "settings.limits.maxAttempts is missing"),
+            ("\"coldShare\"", "\"cold\"", "settings.rules.coldShare is missing"),
+            ("\"deadlineMs\"", "\"deadline\"", "deadlineMs of a class is missing"),
+            ("\"effect\"", "\"affect\"", "effect of a class is missing"),
+            ("400.0", "0", "deadline"),
+            ("400.0", "-400.0", "deadline"),
+            ("400.0", "null", "not a configuration"),
+            ("400.0", "\"soon\"", "not a configuration"),
+            ("\"maxAttempts\":3", "\"maxAttempts\":0", "attempt"),
+            ("\"maxAttempts\":3", "\"maxAttempts\":-1", "not a configuration"),
+            ("\"maxAttempts\":3", "\"maxAttempts\":null", "maxAttempts"),
+        ] {
+            let said = config.check(text.replace(old, new).as_bytes()).err().expect(new);
+            assert!(said.contains(fault), "{new}: {said}");
+        }
+    }
+
     #[test]
     fn what_cannot_be_used_is_refused_with_a_reason() {
         let with = |rest: &str| parse(&format!(r#"{{"settings":{SETTINGS}{rest}}}"#)).err().expect("refused");
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -7,7 +7,7 @@
 use crate::pool::{Place, Pool};
 use hyper::header::HeaderValue;
 use ryelead::*;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -86,6 +86,8 @@
     /// Gone once the request has its final answer or its client has left.
     reply: Option<oneshot::Sender<Answer>>,
     attempts: u32,
+    /// How many the settings allowed when it came.
+    max_attempts: u32,
     /// What calls off the attempts that are out.
     out: HashMap<u32, Option<oneshot::Sender<()>>>,
 }
@@ -140,8 +142,8 @@
     timers_changed: Notify,
     backends: Rc<Backends>,
     commands: Rc<Commands>,
-    max_attempts: u32,
-    drain_grace: Duration,
+    max_attempts: Cell<u32>,
+    drain_grace: Cell<Duration>,
 }
 
 /// A handle to the balancer and all that belongs to it.
@@ -158,8 +160,8 @@
         backends: Rc<Backends>,
         commands: Rc<Commands>,
     ) -> Result<Driver, String> {
-        let (max_attempts, drain_grace) =
-            (settings.max_attempts, Duration::from_micros(settings.drain_grace.0));
+        let max_attempts = Cell::new(settings.max_attempts);
+        let drain_grace = Cell::new(Duration::from_micros(settings.drain_grace.0));
         let core = Core {
             balancer: Balancer::new(settings, seed).map_err(|e| e.to_string())?,
             open: HashMap::new(),
@@ -202,7 +204,7 @@
                     core.servers.get(&server).is_some_and(|s| s.serving && s.place.life == life)
                 };
                 self.pool().retire(is_current);
-                core.forget_servers(self.0.drain_grace + FORGET_AFTER);
+                core.forget_servers(self.0.drain_grace.get() + FORGET_AFTER);
             }
         };
         tokio::join!(self.run_timers(), retire);
@@ -235,6 +237,16 @@
         self.0.core.borrow().servers.values().any(|s| s.serving)
     }
 
+    /// New settings, with the numbers of their classes and the names of their zones.
+    pub fn revise(&self, settings: Settings, classes: Vec<ClassId>, zones: &[String]) {
+        self.0.max_attempts.set(settings.max_attempts);
+        self.0.drain_grace.set(Duration::from_micros(settings.drain_grace.0));
+        // The list's lines are numbered as the first settings named the zones.
+        let zone = zones.get(settings.zone.0 as usize).map(|name| self.0.core.borrow_mut().zones.of(name));
+        let settings = Settings { zone: zone.map_or(settings.zone, ZoneId), ..settings };
+        self.tell(Event::Settings { settings: Box::new(settings), classes });
+    }
+
     /// How many servers the list holds, and how many of those the module avoids now.
     pub fn levels(&self) -> Levels {
         let core = self.0.core.borrow();
@@ -279,7 +291,8 @@
             let id = RequestId(core.next_request);
             core.next_request += 1;
             let (call, deadline) = (Rc::new(call), arrival.deadline);
-            let open = Open { call, call_id, deadline, reply: Some(reply), attempts: 0, out: HashMap::new() };
+            let (reply, max_attempts, out) = (Some(reply), self.0.max_attempts.get(), HashMap::new());
+            let open = Open { call, call_id, deadline, reply, attempts: 0, max_attempts, out };
             core.open.insert(id, open);
             id
         };
@@ -385,7 +398,7 @@
         open.out.insert(attempt, Some(cancel));
         // Nothing is sent for a request that has its answer, nor beyond the attempts or the time it has.
         let until = self.0.clock.instant(timeout_at).min(open.deadline - ATTEMPT_RESERVE);
-        let lawful = open.reply.is_some() && attempt < self.0.max_attempts && until > now;
+        let lawful = open.reply.is_some() && attempt < open.max_attempts && until > now;
         let place = if lawful { core.servers.get_mut(&server).map(Server::enter) } else { None };
         let (driver, call) = (self.clone(), Rc::clone(&open.call));
         tokio::task::spawn_local(async move {
@@ -426,7 +439,7 @@
         let core = self.0.core.borrow();
         let server = core.servers.get(&server);
         server.is_some_and(|s| {
-            s.off_since.is_none_or(|since| since.elapsed() + DRAIN_RESERVE < self.0.drain_grace)
+            s.off_since.is_none_or(|since| since.elapsed() + DRAIN_RESERVE < self.0.drain_grace.get())
         })
     }
 
@@ -655,7 +668,7 @@
                 driver.listed(serde_json::from_str(&list).unwrap());
                 tokio::time::advance(Duration::from_secs(1)).await;
                 let mut core = driver.0.core.borrow_mut();
-                core.forget_servers(driver.0.drain_grace + FORGET_AFTER);
+                core.forget_servers(driver.0.drain_grace.get() + FORGET_AFTER);
                 assert!(core.servers.len() <= 4, "{} are kept", core.servers.len());
                 assert_eq!(core.ids.len(), core.servers.len());
                 assert!(numbers.insert(core.ids[&format!("s{n}")]), "a number is given twice");
--- a/agent/src/intake.rs
+++ b/agent/src/intake.rs
@@ -36,13 +36,19 @@
     pub counters: Rc<ClassCounters>,
     /// Its name.
     pub name: String,
-    /// What may be repeated.
-    pub effect: Effect,
+    /// What the module is told of it.
+    pub terms: ryelead::Class,
+}
+
+impl Class {
     /// No client waits longer, whatever it says.
-    pub deadline: Duration,
+    pub fn deadline(&self) -> Duration {
+        Duration::from_micros(self.terms.deadline.0)
+    }
 }
 
 /// What requests are checked against.
+#[derive(Clone)]
 pub struct Catalogue {
     /// The classes.
     pub classes: Vec<Rc<Class>>,
@@ -92,6 +98,11 @@
 }
 
 impl Catalogue {
+    /// How long a request may take at most.
+    pub fn longest_deadline(&self) -> Duration {
+        self.classes.iter().map(|class| class.deadline()).max().unwrap_or_default()
+    }
+
     /// Checks the head of a request.
     pub fn check(&self, seat: &Seat, request: Request<Incoming>) -> Result<Checked, Fault> {
         let (head, body) = request.into_parts();
@@ -125,7 +136,7 @@
         let bytes = stated.map(|body| head_bytes + body);
         check_end(seat, bytes)?;
         // The client's time runs from the last byte of its request, which has just come.
-        let deadline = Instant::now() + budget.min(class.deadline);
+        let deadline = Instant::now() + budget.min(class.deadline());
         let cost = text(&head.headers, "x-call-cost").and_then(|t| t.parse::<f64>().ok());
         let tenant = text(&head.headers, "x-caller");
         let arrival = Arrival {
@@ -173,7 +184,7 @@
         let class = self.classes.iter().find(|class| class.name == name);
         let class = class.filter(|_| first == name).ok_or(bad("no such class"))?;
         let keyed = one(&head.headers, IDEMPOTENCY_KEY.as_str()).is_some();
-        let fits = match class.effect {
+        let fits = match class.terms.effect {
             Effect::Idempotent => head.method == Method::GET && body.is_end_stream(),
             Effect::Deduplicated { .. } => head.method == Method::POST && keyed,
             Effect::AtMostOnce => head.method == Method::POST && !keyed,
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod ops;
 mod pool;
+mod reload;
 mod rest;
 mod seats;
 mod server;
@@ -21,17 +22,18 @@
 use config::Config;
 use discovery::Commands;
 use driver::Driver;
-use intake::{Catalogue, Class};
+use intake::Catalogue;
 use log::log;
 use metrics::Metrics;
 use pool::Pool;
-use ryelead::{Discovery, ReportSource, Settings, Span};
+use reload::{Classes, Reload};
+use ryelead::{Discovery, ReportSource};
 use server::Server;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
 
@@ -57,44 +59,20 @@
     }
 }
 
-fn length(span: Span) -> Duration {
-    Duration::from_micros(span.0)
-}
-
-/// Moves to where the configuration names discovery, at each signal.
-async fn reload(mut hangup: Signal, commands: Rc<Commands>) {
-    while hangup.recv().await.is_some() {
-        match Config::reread_discovery() {
-            Ok(source) if commands.move_to(source) => log(&format!("discovery is at {source} now")),
-            Ok(_) => {}
-            Err(fault) => log(&format!("the configuration stays as it was: {fault}")),
-        }
-    }
-}
-
 async fn run() -> Result<(), String> {
     // First of all: a signal that nobody waits for ends the program.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
-    let config = Config::from_env()?;
+    let mut config = Config::from_env()?;
     let file = &config.settings;
-    // The protocol lets every refusal say when to come back.
-    let settings = Settings { retry_after: true, ..file.settings() };
-    let classes = file.class_names().into_iter().zip(&settings.classes);
+    let settings = file.settings();
     let metrics = Rc::new(Metrics::default());
-    let classes = classes.enumerate().map(|(number, (name, c))| {
-        let (id, counters) = (ryelead::ClassId(number), metrics.class(&name));
-        Rc::new(Class { id, counters, name, effect: c.effect, deadline: length(c.deadline) })
-    });
-    let classes = classes.collect();
-    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let mut classes = Classes::new(Rc::clone(&metrics));
+    let present = classes.revise(file, &settings);
     let pushed = settings.discovery == Discovery::Pushed;
     let bodies = Budget::new(config.body_bytes);
-    let pool = Pool::new(
-        config.backend_connections,
-        length(file.connect_timeout().unwrap_or(Span::from_ms(250.0))),
-        length(file.keepalive().unwrap_or(Span::from_ms(10_000.0))),
-    );
+    let pool =
+        Pool::new(config.backend_connections, backend::connect_timeout(file), backend::keepalive(file));
     let backends = Backends::new(
         pool,
         Rc::clone(&bodies),
@@ -104,19 +82,27 @@
     let commands = Commands::new(config.discovery);
     let names = (file.zone_names(), file.kind_names());
     let version = config.known.as_ref().map_or(0, |list| list.rev);
-    let driver = Driver::new(settings, config.seed, names, config.known, backends, Rc::clone(&commands))?;
+    let known = config.known.take();
+    let driver =
+        Driver::new(settings, config.seed, names, known, Rc::clone(&backends), Rc::clone(&commands))?;
     spawn_local(driver.clone().run());
-    spawn_local(reload(hangup, Rc::clone(&commands)));
-    spawn_local(discovery::run(driver.clone(), commands, version, pushed));
+    spawn_local(discovery::run(driver.clone(), Rc::clone(&commands), version, pushed));
 
-    let catalogue = Catalogue { classes, tenants: file.tenant_names(), bodies };
-    let server = Server::new(driver, catalogue, metrics, config.client_connections, config.client_crowd);
+    let catalogue = Catalogue { classes: present, tenants: file.tenant_names(), bodies };
+    let server = Server::new(
+        driver.clone(),
+        catalogue,
+        Rc::clone(&metrics),
+        config.client_connections,
+        config.client_crowd,
+    );
     spawn_local(Rc::clone(&server).sweep());
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let (listen, ops) = (config.listen, config.ops);
+    let reload = Reload { config, classes, metrics, driver, server: Rc::clone(&server), backends, commands };
+    spawn_local(reload.run(hangup));
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
-    if let Some(ops) = config.ops {
+    if let Some(ops) = ops {
         let ops =
             TcpListener::bind(ops).await.map_err(|e| format!("cannot listen for operators on {ops}: {e}"))?;
         let place = ops.local_addr().map_err(|e| e.to_string())?;
@@ -136,7 +122,7 @@
     drop(listener);
     server.close_all();
     let quiet_from = stop + ACCEPT_ON + LINGER;
-    let last = stop + length(longest) + STOP_SLACK;
+    let last = stop + server.longest_deadline() + STOP_SLACK;
     while server.connections() > 0 && Instant::now() < last {
         if server.owed() == 0 && Instant::now() >= quiet_from {
             break;
--- a/agent/src/pool.rs
+++ b/agent/src/pool.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use ryelead::{Outcome, ServerId};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -105,7 +105,7 @@
     idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
     open: Gauge,
     open_most: usize,
-    connect_timeout: Duration,
+    connect_timeout: Cell<Duration>,
     rest: Rest,
 }
 
@@ -114,9 +114,16 @@
     pub fn new(open_most: usize, connect_timeout: Duration, keepalive: Duration) -> Rc<Self> {
         let rest = Rest::new(keepalive.mul_f64(REST_SHARE));
         let (idle, open) = Default::default();
+        let connect_timeout = Cell::new(connect_timeout);
         Rc::new(Pool { idle, open, open_most, connect_timeout, rest })
     }
 
+    /// Takes over new settings.
+    pub fn revise(&self, connect_timeout: Duration, keepalive: Duration) {
+        self.connect_timeout.set(connect_timeout);
+        self.rest.revise(keepalive.mul_f64(REST_SHARE));
+    }
+
     /// How many are open.
     #[cfg(test)]
     pub fn count(&self) -> usize {
@@ -133,7 +140,7 @@
             return Err(Outcome::NotSent);
         }
         let ticket = self.open.enter();
-        let stream = match timeout(self.connect_timeout, TcpStream::connect(place.address)).await {
+        let stream = match timeout(self.connect_timeout.get(), TcpStream::connect(place.address)).await {
             Ok(Ok(stream)) => stream,
             // Out of descriptors: the fault is here, not the server's.
             Ok(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)) => return Err(Outcome::NotSent),
--- a/agent/src/rest.rs
+++ b/agent/src/rest.rs
@@ -30,7 +30,7 @@
 
 /// What has become of connections by the time that they had been idle.
 pub struct Rest {
-    most: Duration,
+    most: Cell<Duration>,
     limit: Cell<Duration>,
     seen: RefCell<[Seen; AGES]>,
     faded_at: Cell<Instant>,
@@ -39,10 +39,19 @@
 impl Rest {
     /// Nothing seen yet; connections never rest longer than `most`.
     pub fn new(most: Duration) -> Self {
-        let (limit, faded_at) = (Cell::new(most), Cell::new(Instant::now()));
+        let (most, limit) = (Cell::new(most), Cell::new(most));
+        let faded_at = Cell::new(Instant::now());
         Rest { most, limit, seen: RefCell::default(), faded_at }
     }
 
+    /// Connections never rest longer than `most` from now on.
+    pub fn revise(&self, most: Duration) {
+        // What was learned of ages shows again with the next use.
+        if self.most.replace(most) != most {
+            self.limit.set(most);
+        }
+    }
+
     /// How long a connection may rest at present.
     pub fn limit(&self) -> Duration {
         self.limit.get()
@@ -68,7 +77,9 @@
             .fold(Seen::default(), |a, s| Seen { good: a.good + s.good, broken: a.broken + s.broken });
         let bad = |s: &Seen| s.good + s.broken >= ENOUGH && s.share() > young.share() + WORSE;
         let first = (YOUNG..AGES).find(|&class| bad(&seen[class]));
-        self.limit.set(first.map_or(self.most, |class| self.most.min(Duration::from_millis(1 << class))));
+        self.limit.set(
+            first.map_or(self.most.get(), |class| self.most.get().min(Duration::from_millis(1 << class))),
+        );
     }
 }
 
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use ryelead::{RequestId, Span};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -39,9 +39,10 @@
 /// The clients' side of the agent.
 pub struct Server {
     driver: Driver,
-    catalogue: Catalogue,
+    catalogue: RefCell<Rc<Catalogue>>,
     metrics: Rc<Metrics>,
     listening: Cell<bool>,
+    longest: Cell<Duration>,
     seats: Seats,
     open: Gauge,
     open_most: usize,
@@ -60,7 +61,37 @@
         crowd: (usize, usize),
     ) -> Rc<Self> {
         let (seats, open, stopping, listening) = Default::default();
-        Rc::new(Server { driver, catalogue, metrics, listening, seats, open, open_most, crowd, stopping })
+        let longest = Cell::new(catalogue.longest_deadline());
+        let catalogue = RefCell::new(Rc::new(catalogue));
+        Rc::new(Server {
+            driver,
+            catalogue,
+            metrics,
+            listening,
+            longest,
+            seats,
+            open,
+            open_most,
+            crowd,
+            stopping,
+        })
+    }
+
+    /// How long a request may take at most.
+    pub fn longest_deadline(&self) -> Duration {
+        self.longest.get()
+    }
+
+    /// What requests are checked against at present.
+    pub fn catalogue(&self) -> Catalogue {
+        Catalogue::clone(&self.catalogue.borrow())
+    }
+
+    /// Requests whose head comes from now on are checked against this.
+    pub fn revise(&self, catalogue: Catalogue) {
+        // A request that came before may still be under way: the longest of all stands.
+        self.longest.set(self.longest.get().max(catalogue.longest_deadline()));
+        *self.catalogue.borrow_mut() = Rc::new(catalogue);
     }
 
     /// Accepts connections until dropped.
@@ -184,12 +215,13 @@
             let ready = self.driver.can_decide();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
-        let checked = match self.catalogue.check(seat, request) {
+        let catalogue = Rc::clone(&self.catalogue.borrow());
+        let checked = match catalogue.check(seat, request) {
             Ok(checked) => checked,
             Err((status, why)) => return turned_away(status, why),
         };
         let counters = Rc::clone(&checked.class.counters);
-        let answer = match self.catalogue.read(seat, checked).await {
+        let answer = match catalogue.read(seat, checked).await {
             Ok(taken) => {
                 seat.take();
                 let _in_flight = self.metrics.take();
--- a/agent/tests/loopback/common.rs
+++ b/agent/tests/loopback/common.rs
@@ -258,7 +258,7 @@
  {"name":"zoned","effect":"deduplicated","group":"zone","dedupWindowMs":60000,"aimMs":5000,"deadlineMs":10000,"points":1},
  {"name":"all","effect":"deduplicated","group":"all","dedupWindowMs":60000,"aimMs":5000,"deadlineMs":10000,"points":1}],
  "feedback":{"fields":["qps","queue"],"source":"piggyback"},"parties":[{"name":"courts","fraction":1.0}],
- "limits":{"cancel":true,"connectTimeoutMs":2000,"keepaliveMs":60000,"maxAttempts":3,"secondCopies":true},
+ "limits":{"cancel":true,"retryAfter":true,"connectTimeoutMs":2000,"keepaliveMs":60000,"maxAttempts":3,"secondCopies":true},
  "rules":{"stopSendingWithinMs":2000}}"#;
 
 pub fn config(discovery: SocketAddr, known: &str, settings: &str, sockets: usize) -> String {
--- a/agent/tests/loopback/reload.rs
+++ b/agent/tests/loopback/reload.rs
@@ -79,3 +79,87 @@
         std::thread::yield_now();
     }
 }
+
+fn ops_config(discovery: &Discovery, backend: &Backend, settings: &str) -> String {
+    with_ops(&config(discovery.address, &serving("s0", backend.address), settings, 1024))
+}
+
+fn with_backend(script: impl Fn(&Message) -> Act + Send + Sync + 'static) -> (Agent, Discovery, Backend) {
+    let backend = Backend::new(script);
+    let discovery = Discovery::new(serving("s0", backend.address));
+    let agent = Agent::start(&ops_config(&discovery, &backend, SETTINGS));
+    (agent, discovery, backend)
+}
+
+/// Classes come and go with the file: a new one is served under its own name, a vanished one is a 400.
+#[test]
+fn classes_appear_and_vanish() {
+    let (agent, discovery, backend) = with_backend(|_| ok("x"));
+    let mut client = Client::to(&agent);
+    let fresh = request("once", 9000).replace("once", "fresh");
+    assert_eq!(Client::to(&agent).ask(&fresh).status(), 400);
+    assert_eq!(client.ask(&request("once", 9000)).status(), 200);
+    agent.reload(&ops_config(&discovery, &backend, &SETTINGS.replace("\"once\"", "\"fresh\"")));
+    agent.wait_figure("app_reloads_ok_total", 1.0);
+    assert_eq!(client.ask(&fresh).status(), 200);
+    assert_eq!(client.ask(&request("read", 9000)).status(), 200, "what has not changed goes on");
+    assert_eq!(Client::to(&agent).ask(&request("once", 9000)).status(), 400);
+    for (class, served) in [("fresh", 1.0), ("once", 1.0), ("read", 1.0)] {
+        let figure = format!("app_served_total{{class=\"{class}\"}}");
+        assert_eq!(agent.figure(&figure), Some(served), "{figure}: vanished classes keep their counters");
+    }
+}
+
+/// A class that is no longer safe to repeat: what was taken before is still repeated, what comes after is not.
+#[test]
+fn what_is_under_way_keeps_its_effect() {
+    let (release, held) = std::sync::mpsc::channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let (agent, discovery, backend) = with_backend(move |_| {
+        let _ = held.lock().unwrap().recv_timeout(BOUND);
+        status(500, "")
+    });
+    let mut before = Client::to(&agent);
+    before.write(&request("read", 9000));
+    backend.heard.wait(1);
+    let strict = SETTINGS.replace("\"effect\":\"idempotent\"", "\"effect\":\"at_most_once\"");
+    agent.reload(&ops_config(&discovery, &backend, &strict));
+    agent.wait_figure("app_reloads_ok_total", 1.0);
+    // Now the class takes a POST.
+    let mut after = Client::to(&agent);
+    after.write(&request("once", 9000).replace("once", "read"));
+    let heard = |method: &str| backend.heard.all().iter().filter(|m| m.line.starts_with(method)).count();
+    backend.heard.wait(2);
+    (0..10).for_each(|_| release.send(()).unwrap());
+    assert_eq!(after.read().map(|m| m.status()), Some(502));
+    assert_eq!(before.read().map(|m| m.status()), Some(503));
+    assert_eq!((heard("GET"), heard("POST")), (3, 1));
+}
+
+/// A file that is spoilt in any part changes nothing in any other, and is counted.
+#[test]
+fn a_spoilt_file_is_turned_down_whole() {
+    let (agent, discovery, backend) = with_backend(|_| ok("x"));
+    let good = ops_config(&discovery, &backend, SETTINGS);
+    let elsewhere = good.replace(&discovery.address.to_string(), "127.0.0.1:1").replace("once", "fresh");
+    let spoilt = [
+        String::new(),
+        elsewhere[..elsewhere.len() - 9].to_string(),
+        elsewhere.replace("\"maxAttempts\":3,", ""),
+        elsewhere.replace("\"maxAttempts\":3", "\"maxAttempts\":0"),
+        elsewhere.replace("10000", "-1"),
+        elsewhere.replace("10000", "\"soon\""),
+        elsewhere.replace("\"settings\"", "\"other\""),
+    ];
+    for (count, text) in (1u8..).zip(&spoilt) {
+        agent.reload(text);
+        agent.wait_figure("app_reloads_failed_total", f64::from(count));
+    }
+    assert_eq!(agent.figure("app_reloads_ok_total"), Some(0.0));
+    assert_eq!(Client::to(&agent).ask(&request("once", 9000)).status(), 200);
+    // The watch on the first source is still the one that is followed.
+    discovery.change([serving("s0", backend.address), serving("s1", backend.address)].join(","));
+    agent.wait_figure("app_record_servers_known", 2.0);
+    agent.reload(&good);
+    agent.wait_figure("app_reloads_ok_total", 1.0);
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -77,7 +77,7 @@
     RequestId(u64),
     /// A server, named by the caller; the same for as long as the machine is the same.
     ServerId(u32),
-    /// A request class: its place in [`Settings::classes`].
+    /// A request class: its place in the first [`Settings::classes`], or its number in [`Event::Settings`].
     ClassId(usize),
     /// A tenant: its place in [`Settings::tenants`].
     TenantId(usize),
@@ -583,6 +583,15 @@
     },
     /// News of the server list.
     List(ListUpdate),
+    /// The settings have changed. Requests under way keep their class and the attempts that they had; how the
+    /// server list is heard does not change.
+    Settings {
+        /// The new settings.
+        settings: Box<Settings>,
+        /// The number of each class, in the order of [`Settings::classes`]. A class that goes on unchanged
+        /// keeps its number; any other has a number that no class ever had.
+        classes: Vec<ClassId>,
+    },
     /// Another balancer's message.
     PeerMessage {
         /// Who sent it.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -90,6 +90,9 @@
 /// Pause before the list is asked for again, doubled on each failure up to a quarter of what the site asks.
 const ASK_AGAIN: Span = Span(200_000);
 
+/// A class that new settings leave out is known for this long: a request may have been taken just before.
+const RETIRED_KEPT: Span = Span(60_000_000);
+
 const TICK: TimerId = TimerId(0);
 const LOOKED: TimerId = TimerId(1);
 
@@ -125,6 +128,29 @@
     fate: Fate,
 }
 
+/// A class and what is known of its requests.
+struct Known {
+    class: Class,
+    /// Answer time as a share of the aim, over all servers, leaning to the quick ones, so that a crowd does
+    /// not pass for the usual state.
+    pace: f64,
+    /// The wait that most requests come with, that of a first try, and the votes for it.
+    usual_wait: (Span, u32),
+    /// When new settings left it out.
+    retired_at: Option<Time>,
+}
+
+impl Known {
+    fn new(class: Class) -> Self {
+        Known { class, pace: 0.2, usual_wait: (Span::ZERO, 0), retired_at: None }
+    }
+
+    /// The usual answer time in milliseconds.
+    fn usual(&self) -> f64 {
+        (self.pace * self.class.aim.ms()).max(0.001)
+    }
+}
+
 /// The one record of an accepted request; it goes when the request has its final answer.
 struct Live {
     request: Request,
@@ -133,6 +159,8 @@
     wanted_by: Time,
     attempts: Vec<Attempt>,
     bound: bool,
+    /// The attempts that the settings allowed when it came.
+    max_attempts: usize,
     /// Its tenant had its share already; worth little if that is so.
     over_share: bool,
     /// How often candidates were drawn for it.
@@ -149,7 +177,7 @@
 /// An attempt that has not ended; it outlives its request if that ends first.
 struct Flight {
     server: usize,
-    class: usize,
+    class: ClassId,
     sent: Time,
     trial: bool,
 }
@@ -230,11 +258,8 @@
     memory: Vec<usize>,
     /// The server that each key was last sent to, where servers do known keys for less.
     warm: BTreeMap<KeyId, usize>,
-    /// Answer time of a class as a share of its aim, over all servers, leaning to the quick ones, so that a
-    /// crowd does not pass for the usual state.
-    class_pace: Vec<f64>,
-    /// The wait that most requests of a class come with, that of a first try, and the votes for it.
-    usual_wait: Vec<(Span, u32)>,
+    /// The classes of the present settings, and earlier ones that requests may still name.
+    classes: BTreeMap<ClassId, Known>,
     /// Traffic of the last seconds by tenant.
     tenant_asked: Vec<f64>,
     counted_at: Time,
@@ -250,9 +275,7 @@
     /// A balancer for these settings; equal seeds and events give equal actions.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let classes = settings.classes.len();
-        let class_pace = vec![0.2; classes];
-        let usual_wait = vec![(Span::ZERO, 0); classes];
+        let classes = settings.classes.iter().cloned().map(Known::new);
         Ok(Balancer {
             rng: fastrand::Rng::with_seed(seed),
             servers: Vec::new(),
@@ -265,8 +288,7 @@
             looking: Vec::new(),
             memory: Vec::new(),
             warm: BTreeMap::new(),
-            class_pace,
-            usual_wait,
+            classes: (0..).map(ClassId).zip(classes).collect(),
             tenant_asked: vec![0.0; settings.tenants.len()],
             counted_at: Time(0),
             retries: RETRY_BURST,
@@ -312,9 +334,38 @@
                 self.probed(now, s, outcome != Outcome::Success, elapsed, out);
             }
             Event::List(update) => self.list(now, update, out),
+            Event::Settings { settings, classes } => self.reconfigure(now, *settings, classes),
         }
     }
 
+    /// New settings: those that no decision can be made with change nothing. A request under way keeps its
+    /// class and its attempts; what was learned of servers, and of classes that go on, stands.
+    fn reconfigure(&mut self, now: Time, settings: Settings, ids: Vec<ClassId>) {
+        if settings.validate().is_err() || ids.len() != settings.classes.len() {
+            return;
+        }
+        for (id, known) in &mut self.classes {
+            known.retired_at = if ids.contains(id) { None } else { known.retired_at.or(Some(now)) };
+        }
+        for (id, class) in ids.into_iter().zip(&settings.classes) {
+            self.classes.entry(id).or_insert_with(|| Known::new(class.clone()));
+        }
+        if settings.tenants.len() != self.tenant_asked.len() {
+            self.tenant_asked = vec![0.0; settings.tenants.len()];
+        }
+        self.settings = Settings { discovery: self.settings.discovery, ..settings };
+    }
+
+    /// Drops the classes that were left out long ago and that nothing under way names.
+    fn forget_classes(&mut self, now: Time) {
+        let (live, flights) = (&self.live, &self.flights);
+        let named = |id: ClassId| {
+            live.values().any(|l| l.request.class == id) || flights.values().any(|f| f.class == id)
+        };
+        let over = |known: &Known| known.retired_at.is_some_and(|at| now.since(at) > RETIRED_KEPT);
+        self.classes.retain(|&id, known| !over(known) || named(id));
+    }
+
     /// How many listed servers get nothing new now: those that drain, and suspects whose trial is not due.
     pub fn excluded(&self, now: Time) -> usize {
         let avoided = |&&i: &&usize| match self.servers[i].listed.status {
@@ -329,7 +380,7 @@
 
     fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
         let id = request.id;
-        let Some(class) = self.settings.classes.get(request.class.0) else {
+        let Some(known) = self.classes.get_mut(&request.class) else {
             out.push(Action::Refuse { request: id, retry_after: None });
             return;
         };
@@ -338,7 +389,7 @@
         }
         // First tries of a class wait alike; another wait is what earlier tries have left of the deadline.
         let period = self.settings.period;
-        let (usual, votes) = &mut self.usual_wait[request.class.0];
+        let (class, (usual, votes)) = (&known.class, &mut known.usual_wait);
         let near = request.time_left.less(*usual) <= period && usual.less(request.time_left) <= period;
         let alike = near || *votes == 0;
         match *votes {
@@ -351,8 +402,9 @@
         let wanted_by = (now + class.aim.less(spent)).min(deadline);
         self.count(now, &request);
         let over_share = self.over_share(&request);
-        let live =
-            Live { request, deadline, wanted_by, attempts: Vec::new(), bound: false, over_share, picks: 0 };
+        let (attempts, max_attempts) = (Vec::new(), self.settings.max_attempts as usize);
+        let (bound, picks) = (false, 0);
+        let live = Live { request, deadline, wanted_by, attempts, bound, max_attempts, over_share, picks };
         let hopeless = self.hopeless(now, &live);
         self.live.insert(id, live);
         self.retries = (self.retries + RETRY_EARN).min(RETRY_BURST);
@@ -384,8 +436,8 @@
 
     /// Sent now, it would not be answered while that is worth something.
     fn hopeless(&self, now: Time, live: &Live) -> bool {
-        let c = &self.settings.classes[live.request.class.0];
-        let soon = c.aim * (0.7 * self.class_pace[live.request.class.0]);
+        let Known { class: c, pace, .. } = &self.classes[&live.request.class];
+        let soon = c.aim * (0.7 * pace);
         now + soon >= if c.late_worth > 0.0 { live.deadline } else { live.wanted_by }
     }
 
@@ -404,10 +456,10 @@
 
     /// What the rules still allow; the whole of "no effect happens twice" is here.
     fn lawful(&self, live: &Live, now: Time) -> Lawful {
-        let class = &self.settings.classes[live.request.class.0];
+        let class = &self.classes[&live.request.class].class;
         let out = live.attempts.iter().any(|a| a.fate == Fate::Out);
         let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
-        let full = live.attempts.len() >= self.settings.max_attempts as usize;
+        let full = live.attempts.len() >= live.max_attempts;
         let shut = full || live.bound || now >= live.deadline || (out && !self.settings.second_copies);
         let send = match (first, class.effect) {
             _ if shut => Reach::Nowhere,
@@ -445,7 +497,7 @@
     /// together would place their requests blindly. Where balancers are few, their counts do.
     fn look(&mut self, now: Time, id: RequestId, candidates: &[usize], out: &mut Vec<Action>) -> bool {
         let live = &self.live[&id];
-        let until = now + self.settings.classes[live.request.class.0].aim * LOOK;
+        let until = now + self.classes[&live.request.class].class.aim * LOOK;
         if !self.is_light() || candidates.is_empty() || until >= live.deadline {
             return false;
         }
@@ -486,7 +538,7 @@
     /// Sends a request to the lightest of these; false if there is none.
     fn choose(&mut self, now: Time, id: RequestId, candidates: &[usize], out: &mut Vec<Action>) -> bool {
         let live = &self.live[&id];
-        let (class, key) = (live.request.class.0, live.request.key.filter(|_| self.settings.warm_keys));
+        let (class, key) = (live.request.class, live.request.key.filter(|_| self.settings.warm_keys));
         let warm = key.and_then(|k| self.warm.get(&k)).copied();
         let heavy = (self.work(live) / self.usual(class)).clamp(1.0, 9.0).sqrt();
         let Some(server) = self.lightest(now, candidates, warm, heavy) else { return false };
@@ -507,13 +559,13 @@
     /// The load at which one request more would be answered past its aim: each in line adds about the usual
     /// answer time of a quiet server.
     fn most_told(&self) -> f64 {
-        let most = |c: usize| self.settings.classes[c].aim.ms() / self.usual(c);
-        (0..self.settings.classes.len()).map(most).fold(f64::INFINITY, f64::min).max(1.0)
+        let most = |c: &Known| c.class.aim.ms() / c.usual();
+        self.current().map(most).fold(f64::INFINITY, f64::min).max(1.0)
     }
 
     /// What a probe says of a server's load: its report, and the time it had to wait there.
     fn probed(&mut self, now: Time, server: usize, failed: bool, elapsed: Span, out: &mut Vec<Action>) {
-        let usual = (0..self.settings.classes.len()).map(|c| self.usual(c)).fold(f64::INFINITY, f64::min);
+        let usual = self.current().map(Known::usual).fold(f64::INFINITY, f64::min);
         let s = &mut self.servers[server];
         let least = self.round_trip.entry(s.listed.zone).or_insert(elapsed);
         *least = elapsed.min(*least);
@@ -637,8 +689,8 @@
         self.memory.truncate(REMEMBERED);
     }
 
-    fn send(&mut self, now: Time, id: RequestId, class: usize, server: usize, out: &mut Vec<Action>) {
-        let in_time = self.is_light() && self.settings.classes[class].late_worth == 0.0;
+    fn send(&mut self, now: Time, id: RequestId, class: ClassId, server: usize, out: &mut Vec<Action>) {
+        let in_time = self.is_light() && self.classes[&class].class.late_worth == 0.0;
         let Some(live) = self.live.get_mut(&id) else { return };
         // Where a late answer is worth nothing, what waits past its aim only holds up the server's queue. Few
         // balancers keep the deadline: their counts would lose sight of work that goes on.
@@ -677,14 +729,18 @@
         self.warmth(&self.servers[server], now) < 1.0
     }
 
-    /// The usual answer time of a class in milliseconds.
-    fn usual(&self, class: usize) -> f64 {
-        (self.class_pace[class] * self.settings.classes[class].aim.ms()).max(0.001)
+    /// The classes that new requests may name.
+    fn current(&self) -> impl Iterator<Item = &Known> {
+        self.classes.values().filter(|known| known.retired_at.is_none())
+    }
+
+    fn usual(&self, class: ClassId) -> f64 {
+        self.classes[&class].usual()
     }
 
     /// A guess at a request's work: the hint, else the usual answer time of its class.
     fn work(&self, live: &Live) -> f64 {
-        live.request.cost_hint.map_or_else(|| self.usual(live.request.class.0), Span::ms)
+        live.request.cost_hint.map_or_else(|| self.usual(live.request.class), Span::ms)
     }
 
     // ---- what follows an outcome --------------------------------------------------------------------
@@ -713,7 +769,7 @@
             let fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
             live.attempts[key.1 as usize].fate = fate;
             // One that never came up has been waited for, as has a full server.
-            let at_once = elapsed < self.settings.classes[flight.class].aim * AT_ONCE;
+            let at_once = elapsed < self.classes[&flight.class].class.aim * AT_ONCE;
             let broken = matches!(outcome, Outcome::ConnectionReset | Outcome::ServerError)
                 || outcome == Outcome::ConnectFailed && at_once;
             self.follow_up(now, id, if broken { RETRY_BROKEN } else { 1.0 }, out);
@@ -744,7 +800,7 @@
     fn end(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) {
         let Some(live) = self.live.remove(&id) else { return };
         if self.lawful(&live, now).refuse {
-            let advice = self.come_back(now, live.request.class.0);
+            let advice = self.come_back(now, live.request.class);
             let retry_after = self.settings.retry_after.then_some(advice);
             out.push(Action::Refuse { request: id, retry_after });
         } else {
@@ -754,7 +810,7 @@
 
     /// When a request of this class may find room: a place is free when an answer has come, and if nobody
     /// is open, when the first suspect is tried again.
-    fn come_back(&self, now: Time, class: usize) -> Span {
+    fn come_back(&self, now: Time, class: ClassId) -> Span {
         let trials = self
             .serving
             .iter()
@@ -771,15 +827,15 @@
         }
         let mut held = std::mem::take(&mut self.held);
         let cheap = |l: &Live| {
-            let (c, by_work) = (l.request.class.0, self.settings.worth_by_work);
-            (-1e6 * self.settings.classes[c].worth / if by_work { 1.0 } else { self.usual(c) }) as i64
+            let (c, by_work) = (&self.classes[&l.request.class], self.settings.worth_by_work);
+            (-1e6 * c.class.worth / if by_work { 1.0 } else { c.usual() }) as i64
         };
         held.sort_by_cached_key(|id| self.live.get(id).map(|l| (l.over_share, cheap(l))));
         held.retain(|&id| {
             let Some(live) = self.live.get(&id) else { return false };
-            let class = live.request.class.0;
-            let margin = (WAIT_MARGIN * self.class_pace[class]).min(WAIT_MOST);
-            if self.hopeless(now, live) || now + self.settings.classes[class].aim * margin >= live.wanted_by {
+            let Known { class, pace, .. } = &self.classes[&live.request.class];
+            let margin = (WAIT_MARGIN * pace).min(WAIT_MOST);
+            if self.hopeless(now, live) || now + class.aim * margin >= live.wanted_by {
                 self.end(now, id, out);
                 return false;
             }
@@ -791,7 +847,8 @@
     // ---- what is learned of servers -----------------------------------------------------------------
 
     fn learn(&mut self, now: Time, flight: &Flight, outcome: Outcome, elapsed: Span, out: &mut Vec<Action>) {
-        let aim = self.settings.classes[flight.class].aim.ms();
+        let Some(known) = self.classes.get_mut(&flight.class) else { return };
+        let aim = known.class.aim.ms();
         let s = &mut self.servers[flight.server];
         let used = match outcome {
             // Late is late: one costly request must not weigh like ten.
@@ -805,8 +862,8 @@
             Outcome::Success => {
                 s.failures = 0;
                 s.last_answer = now;
-                lean(&mut self.class_pace[flight.class], used);
-                lean(&mut s.stretch, (used / self.class_pace[flight.class].max(0.001)).clamp(0.05, 8.0));
+                lean(&mut known.pace, used);
+                lean(&mut s.stretch, (used / known.pace.max(0.001)).clamp(0.05, 8.0));
             }
             // A full server is no sick one: it is only sent less.
             Outcome::Rejected => s.last_answer = now,
@@ -967,6 +1024,7 @@
             out.push(Action::Follow { active: true });
         }
         self.forget(now);
+        self.forget_classes(now);
         self.find_silent(now, out);
         self.pump(now, out);
         self.set_tick(now, if self.held.is_empty() { TICK_IDLE } else { TICK_BUSY }, out);
@@ -976,10 +1034,10 @@
     /// may be repeated and can still be answered in time is called back from it and sent elsewhere.
     fn find_silent(&mut self, now: Time, out: &mut Vec<Action>) {
         let overdue = |(&key, flight): (&(RequestId, u32), &Flight)| {
-            let (server, aim) = (&self.servers[flight.server], self.settings.classes[flight.class].aim);
+            let (server, aim) = (&self.servers[flight.server], self.classes[&flight.class].class.aim);
             let least = if server.in_flight > 1 { OVERDUE_LEAST } else { OVERDUE_ALONE };
             let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
-            let pace = self.class_pace[flight.class].max(work / aim.ms());
+            let pace = self.classes[&flight.class].pace.max(work / aim.ms());
             let wait = aim * (OVERDUE * pace).max(least);
             let quiet = server.last_answer < flight.sent;
             (quiet && now.since(flight.sent) > wait).then_some((key, flight.server))
@@ -988,9 +1046,9 @@
         for &((id, attempt), server) in &silent {
             self.suspect(now, server, "silent", out);
             let Some(live) = self.live.get(&id) else { continue };
-            let repeatable = self.settings.classes[live.request.class.0].effect != Effect::AtMostOnce;
+            let repeatable = self.classes[&live.request.class].class.effect != Effect::AtMostOnce;
             let last = attempt as usize + 1 == live.attempts.len();
-            let spare = live.attempts.len() < self.settings.max_attempts as usize && self.retries >= 1.0;
+            let spare = live.attempts.len() < live.max_attempts && self.retries >= 1.0;
             if repeatable && self.settings.cancel && last && spare && !self.hopeless(now, live) {
                 out.push(Action::Cancel { request: id, attempt: AttemptNo(attempt) });
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -114,6 +114,13 @@
                     }
                 }
             }
+            Event::Settings { settings, classes } => {
+                for (id, class) in classes.iter().zip(&settings.classes) {
+                    let known = &mut self.settings.classes;
+                    known.resize(known.len().max(id.0 + 1), Class::default());
+                    known[id.0] = class.clone();
+                }
+            }
             _ => {}
         }
     }
