Pass the listening socket to a new version started beside the old one

agent/src/handover.rs: the process that serves waits at a Unix socket in $TMPDIR and passes its listener (SCM_RIGHTS through rustix, which is safe and returns an owned descriptor); both accept from one queue. The connection between them stays open: while it does, each holds half of the descriptors and memory, and its end tells that the other has gone. The new process fetches the whole list from discovery before it accepts (2.5 s at most). At SIGTERM an old process with a ready successor stops accepting, answers with Connection: close for 0.5 s, closes what rests, finishes what it holds. A stale file only refuses a connect and is replaced by rename.

--- a/agent/src/budget.rs
+++ b/agent/src/budget.rs
@@ -3,18 +3,27 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Bytes that are still free.
-pub struct Budget(Cell<usize>);
+/// Bytes that are spoken for, and how many may be.
+pub struct Budget {
+    all: Cell<usize>,
+    held: Cell<usize>,
+}
 
 impl Budget {
     /// So many bytes in all.
     pub fn new(bytes: usize) -> Rc<Self> {
-        Rc::new(Budget(Cell::new(bytes)))
+        Rc::new(Budget { all: Cell::new(bytes), held: Cell::new(0) })
+    }
+
+    /// So many from now on; what is held beyond that is given back in time.
+    pub fn set(&self, bytes: usize) {
+        self.all.set(bytes);
     }
 
     /// Sets `bytes` aside until the portion is dropped; `None` if there are not so many.
     pub fn take(self: &Rc<Self>, bytes: usize) -> Option<Portion> {
-        self.0.set(self.0.get().checked_sub(bytes)?);
+        let held = self.held.get().checked_add(bytes).filter(|held| *held <= self.all.get())?;
+        self.held.set(held);
         Some(Portion { budget: Rc::clone(self), bytes })
     }
 }
@@ -27,7 +36,7 @@
 
 impl Drop for Portion {
     fn drop(&mut self) {
-        self.budget.0.set(self.budget.0.get() + self.bytes);
+        self.budget.held.set(self.budget.held.get() - self.bytes);
     }
 }
 
@@ -44,5 +53,10 @@
         drop(first);
         assert!(budget.take(8).is_none() && budget.take(7).is_some());
         drop(second);
+        let all = budget.take(10);
+        budget.set(5);
+        assert!(all.is_some() && budget.take(1).is_none());
+        drop(all);
+        assert!(budget.take(6).is_none() && budget.take(5).is_some());
     }
 }
--- a/agent/src/config.rs
+++ b/agent/src/config.rs
@@ -1,6 +1,7 @@
 //! What the agent is told at its start, by the environment and the file that it names.
 
 use crate::discovery::ListReply;
+use crate::server;
 use ryelead_settings::SettingsFile;
 use serde::Deserialize;
 use serde_json::Value;
@@ -13,6 +14,8 @@
 /// What a deployment that states no limit is taken to allow.
 const SOCKETS_DEFAULT: usize = 1024;
 const SOCKETS_LEAST: usize = 64;
+/// However little there is, so many descriptors are for requests.
+const USABLE_LEAST: usize = 8;
 /// What a deployment that states no memory is taken to allow, and the least that is reckoned with, in MB.
 const MEMORY_DEFAULT: f64 = 64.0;
 const MEMORY_LEAST: f64 = 16.0;
@@ -39,13 +42,33 @@
     settings: SettingsFile,
 }
 
-#[derive(Default, Deserialize)]
+/// What the processes of an agent may hold together.
+#[derive(Clone, Copy, Default, Deserialize)]
 #[serde(default)]
-struct Limits {
+pub struct Limits {
     sockets: Option<usize>,
     memory_mb: Option<f64>,
 }
 
+impl Limits {
+    /// What one process may hold while so many share these: descriptors and memory are counted together.
+    pub fn of(&self, sharers: usize) -> Allotment {
+        let sockets = self.sockets.unwrap_or(SOCKETS_DEFAULT) / sharers;
+        let memory = self.memory_mb.unwrap_or(MEMORY_DEFAULT).max(MEMORY_LEAST) * 1024.0 * 1024.0;
+        let memory = memory / sharers as f64;
+        let usable = sockets.saturating_sub(RESERVE).max(USABLE_LEAST);
+        let clients = (memory * CLIENTS_SHARE / CLIENT_BYTES) as usize;
+        // Clients may hold a third of the descriptors for requests; those that keep what they don't use must leave
+        // room for the others long before that.
+        let (rest_most, keep_most) = (sockets / 6, sockets / 4);
+        Allotment {
+            clients: server::Limits { open_most: clients.min(usable / 2), rest_most, keep_most },
+            backend_connections: usable - usable / 2,
+            body_bytes: (memory * BODIES_SHARE) as usize,
+        }
+    }
+}
+
 /// All that the agent is told.
 pub struct Config {
     /// Where clients connect.
@@ -56,14 +79,8 @@
     pub ops: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
-    /// Most connections of clients that are held at once.
-    pub client_connections: usize,
-    /// Beyond so many, clients' connections that rest are closed; and beyond so many, all after their answer.
-    pub client_crowd: (usize, usize),
-    /// Most connections to backends that are held at once.
-    pub backend_connections: usize,
-    /// Most bytes that bodies of requests and answers hold at once.
-    pub body_bytes: usize,
+    /// What its processes may hold together.
+    limits: Limits,
     /// The list as this agent last had it.
     pub known: Option<ListReply>,
     /// The settings object.
@@ -72,6 +89,16 @@
     shape: Value,
 }
 
+/// What one process may hold.
+pub struct Allotment {
+    /// Connections of clients.
+    pub clients: server::Limits,
+    /// Most connections to backends that are held at once.
+    pub backend_connections: usize,
+    /// Most bytes that bodies of requests and answers hold at once.
+    pub body_bytes: usize,
+}
+
 /// What a file that was read again changes.
 pub struct Revised {
     /// Where discovery listens.
@@ -131,6 +158,10 @@
         Config::parse(&text, places).map_err(|e| format!("{path}: {e}"))
     }
 
+    /// What the processes of this agent may hold together.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
     /// Reads the file once more, at the operators' signal. The environment is as old as the process and has no say
     /// here. Addresses and limits of this process do not change without a restart.
     pub fn reread(&self) -> Result<Revised, String> {
@@ -175,20 +206,12 @@
         if sockets < SOCKETS_LEAST {
             return Err(format!("limits.sockets is {sockets}; at least {SOCKETS_LEAST} are needed"));
         }
-        let usable = sockets - RESERVE;
-        let memory = file.limits.memory_mb.unwrap_or(MEMORY_DEFAULT).max(MEMORY_LEAST) * 1024.0 * 1024.0;
-        let clients = (memory * CLIENTS_SHARE / CLIENT_BYTES) as usize;
         Ok(Config {
             listen: address("listen", places.listen.or(file.listen))?,
             discovery: address("discovery", places.discovery.or(file.discovery))?,
             ops: places.ops.or(file.ops).map(|text| address("ops", Some(text))).transpose()?,
             seed: file.seed.map_or(0, |seed| seed_number(&seed)),
-            client_connections: clients.min(usable / 2),
-            // Clients may hold a third of the descriptors for requests; those that keep what they don't use must leave
-            // room for the others long before that.
-            client_crowd: (sockets / 6, sockets / 4),
-            backend_connections: usable - usable / 2,
-            body_bytes: (memory * BODIES_SHARE) as usize,
+            limits: Limits { sockets: Some(sockets), ..file.limits },
             known: file.known,
             settings: file.settings,
             shape,
@@ -224,11 +247,17 @@
         );
         let config = parse(&text).expect("usable");
         assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
-        assert!(config.client_connections + config.backend_connections + RESERVE <= 1024);
+        for sharers in 1..=3 {
+            let budget = config.limits().of(sharers);
+            let held = budget.clients.open_most + budget.backend_connections + RESERVE;
+            assert!(held * sharers <= 1024, "{sharers}");
+        }
         let small = text.replace("\"cores\"", "\"memory_mb\":32,\"cores\"");
         let small = parse(&small).expect("usable");
-        let held = small.client_connections as f64 * CLIENT_BYTES + small.body_bytes as f64;
-        assert!(held <= 16.0 * 1024.0 * 1024.0 && small.client_connections > 250);
+        let budget = small.limits().of(1);
+        let held = budget.clients.open_most as f64 * CLIENT_BYTES + budget.body_bytes as f64;
+        assert!(held <= 16.0 * 1024.0 * 1024.0 && budget.clients.open_most > 250);
+        assert!(small.limits().of(2).body_bytes * 2 <= budget.body_bytes);
         let over = Config::parse(
             text.as_bytes(),
             Places { listen: Some("127.0.0.2:90".into()), ..Places::default() },
--- a/agent/src/discovery.rs
+++ b/agent/src/discovery.rs
@@ -179,14 +179,14 @@
 }
 
 /// Asks discovery wherever it is for as long as the agent lives. `known` is the version of the list that the agent
-/// started with; `pushed`: the list is sent by itself.
-pub async fn run(driver: Driver, commands: Rc<Commands>, known: i64, pushed: bool) {
+/// started with, if that may stand until something newer comes; `pushed`: the list is sent by itself.
+pub async fn run(driver: Driver, commands: Rc<Commands>, known: Option<i64>, pushed: bool) {
     let mut source = commands.source.subscribe();
     if pushed {
         commands.follow(true);
     }
     // What the agent was told at its start came from the first source.
-    let mut version = Some(known);
+    let mut version = known;
     loop {
         let address = *source.borrow_and_update();
         let asking = Asking { driver: &driver, commands: &commands, address, version: Cell::new(version) };
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -13,7 +13,7 @@
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{oneshot, watch, Notify};
 use tokio::time::{sleep, sleep_until, timeout_at, Instant};
 
 /// No attempt is waited for longer than until this before the client's deadline, so that the module can still
@@ -140,6 +140,8 @@
     clock: Clock,
     core: RefCell<Core>,
     timers_changed: Notify,
+    /// Discovery has answered at least once.
+    heard: watch::Sender<bool>,
     backends: Rc<Backends>,
     commands: Rc<Commands>,
     max_attempts: Cell<u32>,
@@ -178,6 +180,7 @@
             clock: Clock::new(),
             core: RefCell::new(core),
             timers_changed: Notify::new(),
+            heard: watch::Sender::new(false),
             backends,
             commands,
             max_attempts,
@@ -475,6 +478,12 @@
         let lines = self.take_list(reply.all, reply.targets);
         let update = if reply.all { ListUpdate::Complete(lines) } else { ListUpdate::Changes(lines) };
         self.tell(Event::List(update));
+        self.0.heard.send_replace(true);
+    }
+
+    /// Comes back once discovery has answered.
+    pub async fn heard(&self) {
+        let _ = self.0.heard.subscribe().wait_for(|heard| *heard).await;
     }
 
     /// A call to discovery has failed.
--- /dev/null
+++ b/agent/src/handover.rs
@@ -0,0 +1,220 @@
+//! A new version under load: the process that serves passes its listening socket to the one that is started beside it,
+//! over a Unix socket in `$TMPDIR`. Both then accept from one queue, so that nothing in it is reset when the old one
+//! closes its end. The connection between the two stays open: while it does, they share the limits.
+
+use crate::log::log;
+use rustix::cmsg_space;
+use rustix::net::{recvmsg, sendmsg};
+use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
+use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
+use std::cell::Cell;
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::Interest;
+use tokio::net::{TcpListener, UnixListener, UnixStream};
+use tokio::time::{sleep, timeout};
+
+/// A predecessor that has not passed its socket by then has hung or is on its way out.
+const PASS_WAIT: Duration = Duration::from_millis(500);
+/// Processes that share one address at most, this one left out.
+const PEERS_MOST: usize = 3;
+/// Pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// What a successor says once it can serve.
+const READY: u8 = b'R';
+
+/// Where the processes of one agent meet; `None` where there is no private folder.
+pub fn meeting_place(listen: SocketAddr) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
+    let (ip, port) = (listen.ip(), listen.port());
+    Some(Path::new(&folder).join(format!("heronhoist-{ip}-{port}.sock")))
+}
+
+type Changed = Box<dyn Fn(usize)>;
+
+/// How many processes share the limits, as far as this one knows.
+#[derive(Default)]
+pub struct Sharers {
+    others: Cell<usize>,
+    ready: Cell<usize>,
+    /// Told of each change.
+    changed: Cell<Option<Changed>>,
+}
+
+impl Sharers {
+    /// Has this called with the number of processes, this one counted, now and at each change.
+    pub fn on_change(&self, changed: impl Fn(usize) + 'static) {
+        self.changed.set(Some(Box::new(changed)));
+        self.tell();
+    }
+
+    fn tell(&self) {
+        if let Some(changed) = self.changed.take() {
+            changed(self.others.get() + 1);
+            self.changed.set(Some(changed));
+        }
+    }
+
+    /// Another process can serve from the same queue.
+    pub fn has_successor(&self) -> bool {
+        self.ready.get() > 0
+    }
+
+    fn enter(self: &Rc<Self>) -> Share {
+        self.others.set(self.others.get() + 1);
+        self.tell();
+        Share(Rc::clone(self))
+    }
+}
+
+/// Another process, until it has gone.
+struct Share(Rc<Sharers>);
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.0.others.set(self.0.others.get() - 1);
+        self.0.tell();
+    }
+}
+
+/// The process that has served so far.
+pub struct Predecessor {
+    stream: UnixStream,
+    _share: Share,
+}
+
+impl Predecessor {
+    /// Says that this process can serve, and stays till the other has gone.
+    pub async fn relieve(self) {
+        let told = self.stream.writable().await.and_then(|()| self.stream.try_write(&[READY]));
+        if let Err(e) = told {
+            log(&format!("cannot tell the process before this one: {e}"));
+        }
+        // It never says anything more: what can be read is its end.
+        while self.stream.readable().await.is_ok() {
+            match self.stream.try_read(&mut [0; 16]) {
+                Ok(0) => break,
+                Err(e) if e.kind() != io::ErrorKind::WouldBlock => break,
+                Ok(_) | Err(_) => {}
+            }
+        }
+        log("the process before this one has gone; its share of the limits is free");
+    }
+}
+
+/// The listening socket of the process that serves at present, if there is one. A file that a killed process has left
+/// leads nowhere and stops nobody.
+pub async fn take_over(place: &Path, sharers: &Rc<Sharers>) -> Option<(std::net::TcpListener, Predecessor)> {
+    let stream = UnixStream::connect(place).await.ok()?;
+    let received = timeout(PASS_WAIT, async {
+        loop {
+            stream.readable().await?;
+            match stream.try_io(Interest::READABLE, || receive(&stream)) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                received => return received,
+            }
+        }
+    });
+    match received.await {
+        Ok(Ok(listener)) => {
+            let predecessor = Predecessor { stream, _share: sharers.enter() };
+            Some((listener.into(), predecessor))
+        }
+        Ok(Err(e)) => {
+            log(&format!("the process that serves has not passed its socket: {e}"));
+            None
+        }
+        Err(_) => {
+            log("the process that serves has not passed its socket in time");
+            None
+        }
+    }
+}
+
+fn receive(stream: &UnixStream) -> io::Result<OwnedFd> {
+    let mut space = [MaybeUninit::uninit(); cmsg_space!(ScmRights(1))];
+    let mut control = RecvAncillaryBuffer::new(&mut space);
+    let mut word = [0];
+    let flags = RecvFlags::CMSG_CLOEXEC;
+    recvmsg(stream.as_fd(), &mut [IoSliceMut::new(&mut word)], &mut control, flags)?;
+    let passed = control.drain().find_map(|message| match message {
+        RecvAncillaryMessage::ScmRights(mut sockets) => sockets.next(),
+        _ => None,
+    });
+    passed.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "no socket came"))
+}
+
+fn pass(stream: &UnixStream, listener: &TcpListener) -> io::Result<()> {
+    let mut space = [MaybeUninit::uninit(); cmsg_space!(ScmRights(1))];
+    let mut control = SendAncillaryBuffer::new(&mut space);
+    let sockets = [listener.as_fd()];
+    control.push(SendAncillaryMessage::ScmRights(&sockets));
+    sendmsg(stream.as_fd(), &[IoSlice::new(b"L")], &mut control, SendFlags::NOSIGNAL)?;
+    Ok(())
+}
+
+/// Waits at the meeting place for successors, and passes each the listening socket, until dropped.
+pub async fn offer(place: PathBuf, listener: Rc<TcpListener>, sharers: Rc<Sharers>) {
+    let meeting = match open(&place) {
+        Ok(meeting) => meeting,
+        Err(e) => {
+            log(&format!("no handover: cannot wait at {}: {e}", place.display()));
+            return;
+        }
+    };
+    loop {
+        let Ok((stream, _)) = meeting.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if sharers.others.get() >= PEERS_MOST {
+            continue;
+        }
+        let passed = stream.writable().await;
+        let passed = passed.and_then(|()| stream.try_io(Interest::WRITABLE, || pass(&stream, &listener)));
+        match passed {
+            Ok(()) => {
+                let share = sharers.enter();
+                tokio::task::spawn_local(attend(stream, share));
+            }
+            Err(e) => log(&format!("cannot pass the listening socket: {e}")),
+        }
+    }
+}
+
+/// The file appears under its name only once it is waited at, and replaces whatever stood there.
+fn open(place: &Path) -> io::Result<UnixListener> {
+    let fresh = place.with_extension(format!("{}", std::process::id()));
+    let _ = std::fs::remove_file(&fresh);
+    let meeting = UnixListener::bind(&fresh)?;
+    std::fs::rename(&fresh, place)?;
+    Ok(meeting)
+}
+
+/// Follows a successor until it has gone.
+async fn attend(stream: UnixStream, share: Share) {
+    log("another process has taken the listening socket");
+    let mut ready = false;
+    while stream.readable().await.is_ok() {
+        let mut said = [0; 16];
+        match stream.try_read(&mut said) {
+            Ok(0) => break,
+            Ok(n) if !ready && said[..n].contains(&READY) => {
+                ready = true;
+                share.0.ready.set(share.0.ready.get() + 1);
+                log("the other process can serve");
+            }
+            Err(e) if e.kind() != io::ErrorKind::WouldBlock => break,
+            Ok(_) | Err(_) => {}
+        }
+    }
+    if ready {
+        share.0.ready.set(share.0.ready.get() - 1);
+    }
+    log("the other process has gone");
+}
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod handover;
 mod head;
 mod intake;
 mod log;
@@ -22,6 +23,7 @@
 use config::Config;
 use discovery::Commands;
 use driver::Driver;
+use handover::Sharers;
 use intake::Catalogue;
 use log::log;
 use metrics::Metrics;
@@ -29,10 +31,11 @@
 use reload::{Classes, Reload};
 use ryelead::{Discovery, ReportSource};
 use server::Server;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
@@ -44,6 +47,11 @@
 /// The end, counted from SIGTERM over the longest deadline.
 const STOP_SLACK: Duration = Duration::from_millis(300);
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// A process that takes over waits this long for discovery; then what it knows must do.
+const LIST_WAIT: Duration = Duration::from_millis(2500);
+
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let end = match runtime {
@@ -59,6 +67,15 @@
     }
 }
 
+/// Listens so that another process of this agent may do so too, should it find no way to take over this socket.
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 async fn run() -> Result<(), String> {
     // First of all: a signal that nobody waits for ends the program.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
@@ -70,46 +87,80 @@
     let mut classes = Classes::new(Rc::clone(&metrics));
     let present = classes.revise(file, &settings);
     let pushed = settings.discovery == Discovery::Pushed;
-    let bodies = Budget::new(config.body_bytes);
-    let pool =
-        Pool::new(config.backend_connections, backend::connect_timeout(file), backend::keepalive(file));
+    let sharers = Rc::new(Sharers::default());
+    let place = handover::meeting_place(config.listen);
+    let inherited = match &place {
+        Some(place) => handover::take_over(place, &sharers).await,
+        None => None,
+    };
+    // What it holds at first is as if it were not alone.
+    let budget = config.limits().of(2);
+    let bodies = Budget::new(budget.body_bytes);
+    let (connect_timeout, keepalive) = (backend::connect_timeout(file), backend::keepalive(file));
+    let pool = Pool::new(budget.backend_connections, connect_timeout, keepalive);
     let backends = Backends::new(
-        pool,
+        Rc::clone(&pool),
         Rc::clone(&bodies),
         file.report_names().to_vec(),
         settings.report_source != ReportSource::None,
     );
     let commands = Commands::new(config.discovery);
     let names = (file.zone_names(), file.kind_names());
+    // The list in the file may be old. Where a process has served up to now, that one knows better: this one serves
+    // once it has been told all.
     let version = config.known.as_ref().map_or(0, |list| list.rev);
+    let version = inherited.is_none().then_some(version);
     let known = config.known.take();
     let driver =
         Driver::new(settings, config.seed, names, known, Rc::clone(&backends), Rc::clone(&commands))?;
     spawn_local(driver.clone().run());
     spawn_local(discovery::run(driver.clone(), Rc::clone(&commands), version, pushed));
 
-    let catalogue = Catalogue { classes: present, tenants: file.tenant_names(), bodies };
-    let server = Server::new(
-        driver.clone(),
-        catalogue,
-        Rc::clone(&metrics),
-        config.client_connections,
-        config.client_crowd,
-    );
+    let catalogue = Catalogue { classes: present, tenants: file.tenant_names(), bodies: Rc::clone(&bodies) };
+    let server = Server::new(driver.clone(), catalogue, Rc::clone(&metrics), budget.clients);
     spawn_local(Rc::clone(&server).sweep());
-    let (listen, ops) = (config.listen, config.ops);
-    let reload = Reload { config, classes, metrics, driver, server: Rc::clone(&server), backends, commands };
-    spawn_local(reload.run(hangup));
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
-    if let Some(ops) = ops {
-        let ops =
+    if let Some(ops) = config.ops {
+        let listener =
             TcpListener::bind(ops).await.map_err(|e| format!("cannot listen for operators on {ops}: {e}"))?;
-        let place = ops.local_addr().map_err(|e| e.to_string())?;
-        spawn_local(ops::run(ops, Rc::clone(&server)));
+        let place = listener.local_addr().map_err(|e| e.to_string())?;
+        spawn_local(ops::run(listener, Rc::clone(&server)));
         log(&format!("operators may call at {place}"));
     }
+    let (listener, predecessor) = match inherited {
+        Some((listener, predecessor)) => (TcpListener::from_std(listener), Some(predecessor)),
+        None => (bind(config.listen), None),
+    };
+    let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    let allot = {
+        let (limits, server) = (config.limits(), Rc::clone(&server));
+        move |sharers| {
+            let budget = limits.of(sharers);
+            server.limit(budget.clients);
+            pool.limit(budget.backend_connections);
+            bodies.set(budget.body_bytes);
+        }
+    };
+    sharers.on_change(allot);
+    let reload = Reload {
+        config,
+        classes,
+        metrics,
+        driver: driver.clone(),
+        server: Rc::clone(&server),
+        backends,
+        commands,
+    };
+    spawn_local(reload.run(hangup));
+    if predecessor.is_some() {
+        let _ = timeout(LIST_WAIT, driver.heard()).await;
+    }
     log(&format!("listening on {address}"));
+    if let Some(predecessor) = predecessor {
+        spawn_local(predecessor.relieve());
+    }
+    let offer =
+        place.map(|place| spawn_local(handover::offer(place, Rc::clone(&listener), Rc::clone(&sharers))));
     tokio::select! {
         () = server.accept(&listener) => {}
         _ = term.recv() => {}
@@ -118,8 +169,18 @@
     // Clients go on coming until they have noticed; what they send is served to the end.
     let stop = Instant::now();
     server.begin_stop();
-    let _ = timeout(ACCEPT_ON, server.accept(&listener)).await;
-    drop(listener);
+    if let Some(offer) = offer {
+        offer.abort();
+        let _ = offer.await;
+    }
+    if sharers.has_successor() {
+        // New connections are the successor's from now on; those that are open may still be used for a while.
+        drop(listener);
+        sleep(ACCEPT_ON).await;
+    } else {
+        let _ = timeout(ACCEPT_ON, server.accept(&listener)).await;
+        drop(listener);
+    }
     server.close_all();
     let quiet_from = stop + ACCEPT_ON + LINGER;
     let last = stop + server.longest_deadline() + STOP_SLACK;
--- a/agent/src/pool.rs
+++ b/agent/src/pool.rs
@@ -104,7 +104,7 @@
 pub struct Pool {
     idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
     open: Gauge,
-    open_most: usize,
+    open_most: Cell<usize>,
     connect_timeout: Cell<Duration>,
     rest: Rest,
 }
@@ -114,10 +114,20 @@
     pub fn new(open_most: usize, connect_timeout: Duration, keepalive: Duration) -> Rc<Self> {
         let rest = Rest::new(keepalive.mul_f64(REST_SHARE));
         let (idle, open) = Default::default();
-        let connect_timeout = Cell::new(connect_timeout);
+        let (open_most, connect_timeout) = (Cell::new(open_most), Cell::new(connect_timeout));
         Rc::new(Pool { idle, open, open_most, connect_timeout, rest })
     }
 
+    /// Holds so many at most from now on, as far as those beyond are idle.
+    pub fn limit(&self, open_most: usize) {
+        self.open_most.set(open_most);
+        for _ in open_most..self.open.count() {
+            if !self.close_coldest() {
+                return;
+            }
+        }
+    }
+
     /// Takes over new settings.
     pub fn revise(&self, connect_timeout: Duration, keepalive: Duration) {
         self.connect_timeout.set(connect_timeout);
@@ -136,7 +146,7 @@
             let Idle { sender, view, task, since, .. } = idle;
             return Ok(Lease { sender: Some(sender), view, task, rested: Some(since.elapsed()) });
         }
-        if self.open.count() >= self.open_most && !self.close_coldest() {
+        if self.open.count() >= self.open_most.get() && !self.close_coldest() {
             return Err(Outcome::NotSent);
         }
         let ticket = self.open.enter();
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -36,6 +36,17 @@
 /// When to come back if there was no memory for a body: others are done with theirs by then.
 const BODY_RETRY: Span = Span(100_000);
 
+/// How many connections clients may hold.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    /// At most.
+    pub open_most: usize,
+    /// Beyond so many, those that rest are closed.
+    pub rest_most: usize,
+    /// Beyond so many, all are closed after their answer.
+    pub keep_most: usize,
+}
+
 /// The clients' side of the agent.
 pub struct Server {
     driver: Driver,
@@ -45,36 +56,22 @@
     longest: Cell<Duration>,
     seats: Seats,
     open: Gauge,
-    open_most: usize,
-    /// Beyond so many, those that rest are closed; and beyond so many, all after their answer.
-    crowd: (usize, usize),
+    limits: Cell<Limits>,
     stopping: Cell<bool>,
 }
 
 impl Server {
     /// Serves nobody yet.
-    pub fn new(
-        driver: Driver,
-        catalogue: Catalogue,
-        metrics: Rc<Metrics>,
-        open_most: usize,
-        crowd: (usize, usize),
-    ) -> Rc<Self> {
+    pub fn new(driver: Driver, catalogue: Catalogue, metrics: Rc<Metrics>, limits: Limits) -> Rc<Self> {
         let (seats, open, stopping, listening) = Default::default();
         let longest = Cell::new(catalogue.longest_deadline());
-        let catalogue = RefCell::new(Rc::new(catalogue));
-        Rc::new(Server {
-            driver,
-            catalogue,
-            metrics,
-            listening,
-            longest,
-            seats,
-            open,
-            open_most,
-            crowd,
-            stopping,
-        })
+        let (catalogue, limits) = (RefCell::new(Rc::new(catalogue)), Cell::new(limits));
+        Rc::new(Server { driver, catalogue, metrics, listening, longest, seats, open, limits, stopping })
+    }
+
+    /// Holds so many connections from now on.
+    pub fn limit(&self, limits: Limits) {
+        self.limits.set(limits);
     }
 
     /// How long a request may take at most.
@@ -100,7 +97,7 @@
         loop {
             // A connection that waits in the backlog has been accepted as far as its client can tell, so room
             // is made before it is needed.
-            while self.open.count() >= self.open_most {
+            while self.open.count() >= self.limits.get().open_most {
                 self.seats.make_room();
                 let _ = timeout(ACCEPT_PAUSE, self.seats.left()).await;
             }
@@ -126,7 +123,7 @@
     pub async fn sweep(self: Rc<Self>) {
         loop {
             sleep(SWEEP_EVERY).await;
-            self.seats.sweep(self.crowd.0);
+            self.seats.sweep(self.limits.get().rest_most);
         }
     }
 
@@ -169,7 +166,7 @@
                 seat.begin();
                 let mut answer = server.handle(&seat, request).await;
                 // Clients that ask once and stay would leave the others none of the connections that all may hold.
-                if server.stopping.get() || server.open.count() > server.crowd.1 {
+                if server.stopping.get() || server.open.count() > server.limits.get().keep_most {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 seat.answer(answer.headers().contains_key(CONNECTION));
--- a/agent/tests/loopback/common.rs
+++ b/agent/tests/loopback/common.rs
@@ -291,9 +291,22 @@
     path
 }
 
+/// A private folder, as a deployment gives one.
+pub fn folder() -> PathBuf {
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("heronhoist-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
 pub fn command(config: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_dilljunction"));
-    command.env("LB_CONFIG", config).env_remove("LB_LISTEN").env_remove("LB_DISCOVERY").env_remove("LB_OPS");
+    command
+        .env("LB_CONFIG", config)
+        .env_remove("LB_LISTEN")
+        .env_remove("LB_DISCOVERY")
+        .env_remove("LB_OPS")
+        .env_remove("TMPDIR");
     command.stderr(Stdio::piped());
     command
 }
@@ -304,6 +317,12 @@
         Agent::watch(command(&config).spawn().unwrap(), config)
     }
 
+    /// An agent whose processes meet in this folder.
+    pub fn start_in(folder: &Path, config: &str) -> Agent {
+        let config = config_file(config);
+        Agent::watch(command(&config).env("TMPDIR", folder).spawn().unwrap(), config)
+    }
+
     /// An agent with one backend and a configuration that allows so many descriptors.
     pub fn with_sockets(backend: &Backend, sockets: usize) -> (Agent, Discovery) {
         let line = serving("s", backend.address);
@@ -318,7 +337,13 @@
         let config = config_file(config);
         shell.args(["-c", &script]).env("LB_CONFIG", &config).stderr(Stdio::piped());
         Agent::watch(
-            shell.env_remove("LB_LISTEN").env_remove("LB_DISCOVERY").env_remove("LB_OPS").spawn().unwrap(),
+            shell
+                .env_remove("LB_LISTEN")
+                .env_remove("LB_DISCOVERY")
+                .env_remove("LB_OPS")
+                .env_remove("TMPDIR")
+                .spawn()
+                .unwrap(),
             config,
         )
     }
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod common;
+mod handover;
 mod limits;
 mod lists;
 mod ops;
