--- a/agent/src/backend.rs
+++ b/agent/src/backend.rs
@@ -1,28 +1,33 @@
 //! Attempts and probes: a message out, what comes back told as an outcome.
 
 use crate::budget::{Budget, Portion};
+use crate::download::{Download, Origin};
 use crate::metrics::ClassCounters;
 use crate::pool::{Lease, Place, Pool};
+use crate::upload::{Coming, Outgoing, Payload, BODY_MOST, HELD_MOST};
 use crate::wire::View;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use ryelead::{Outcome, ReportSource, Settings, Span};
 use ryelead_settings::SettingsFile;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{timeout, timeout_at, Instant};
-
-/// The largest body that either side may send.
-pub const BODY_MOST: usize = 64 * 1024;
-/// The most that is read for one answer: a body in small chunks, its head, and what may come ahead of it.
-const ANSWER_MOST: u64 = 4 * BODY_MOST as u64;
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+
+/// The most that is read for an answer that is held whole: a body in small chunks, its head, and what may come ahead.
+const ANSWER_MOST: u64 = 4 * HELD_MOST as u64;
+/// A backend that takes nothing of a request for this long gets no more of it.
+const STUCK_MOST: Duration = Duration::from_secs(3);
+/// How often that is looked at.
+const STUCK_LOOK: Duration = Duration::from_millis(250);
 /// An answer that has begun and of which nothing more has come for this long is spoilt: answers are short and
 /// written whole, and whoever waits on would wait to the end of the attempt's time.
 const STALL: Duration = Duration::from_millis(100);
@@ -40,7 +45,9 @@
     /// The headers that go on unchanged.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Payload,
+    /// How long its client waits once all of it has come.
+    pub budget: Duration,
     /// What counts its attempts; probes have none.
     pub counters: Option<Rc<ClassCounters>>,
     /// The memory that the body holds.
@@ -48,21 +55,31 @@
 }
 
 impl Call {
-    /// Fewer bytes than this are certainly not the whole message.
-    fn least_bytes(&self) -> u64 {
+    /// Fewer bytes than this are certainly not the whole message; `None` while its length is not known.
+    fn least_bytes(&self) -> Option<u64> {
         let headers: usize = self.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
-        (self.method.as_str().len() + self.uri.path().len() + headers + self.body.len()) as u64
+        let body = match &self.body {
+            Payload::Held(bytes) => bytes.len() as u64,
+            Payload::Coming(upload) => upload.bytes()?,
+        };
+        Some((self.method.as_str().len() + self.uri.path().len() + headers) as u64 + body)
     }
 }
 
 /// A backend's 200, to be passed on unchanged.
 pub struct Served {
     /// The body.
-    pub body: Bytes,
+    pub body: Content,
     /// What it is.
     pub content_type: Option<HeaderValue>,
-    /// The memory that the body holds.
-    pub _portion: Portion,
+}
+
+/// The body of an answer.
+pub enum Content {
+    /// All of it, and the memory that it holds.
+    Held(Bytes, Portion),
+    /// Its beginning; the rest is to come.
+    Coming(Box<Download>),
 }
 
 /// How an attempt or a probe ended.
@@ -87,6 +104,8 @@
     Connection,
     /// It is none that may be believed.
     Answer,
+    /// The backend has taken nothing of the request for too long.
+    Stuck,
 }
 
 /// Shows how far an attempt has come to whoever stops waiting for it.
@@ -137,7 +156,6 @@
         progress: &Progress,
         may_send: impl Fn() -> bool,
     ) -> Ended {
-        let least = call.least_bytes();
         loop {
             let mut lease = match self.pool.lease(place).await {
                 Ok(lease) => lease,
@@ -150,28 +168,55 @@
             progress.0.set(true);
             let view = lease.view.clone();
             let (before, received) = (view.written(), view.received());
-            view.count_after(least, call.counters.clone());
-            let answer = self.exchange(&mut lease, message(call, place.address, until)).await;
+            view.count_nothing();
+            let counted = async {
+                // Of a long body nobody may know the length before its end.
+                if let (None, Some(upload)) = (call.least_bytes(), call.body.upload()) {
+                    upload.ended().await;
+                }
+                if let Some(least) = call.least_bytes() {
+                    view.count_at(before + least, call.counters.clone());
+                }
+                std::future::pending::<()>().await
+            };
+            let answer = tokio::select! {
+                biased;
+                () = counted => Err(Spoilt::Answer),
+                answer = self.exchange(&mut lease, message(call, place.address, until)) => answer,
+                () = stuck(&view) => Err(Spoilt::Stuck),
+            };
             let written = view.written() - before;
+            let is_whole = call.least_bytes().is_some_and(|least| written >= least);
+            let broken = call.body.upload().is_some_and(|upload| matches!(upload.state(), Coming::Broken(_)));
             self.pool.note(&lease, answer.is_err() && view.received() == received);
             match answer {
                 // An answer to what was not all there yet is none to this request.
-                Ok(ended) if written >= least => {
-                    self.pool.give_back(place, lease);
+                Ok(mut ended) if is_whole => {
+                    match ended.served.as_mut().map(|served| &mut served.body) {
+                        Some(Content::Coming(download)) => {
+                            download.keep(Origin { lease, place, pool: Rc::clone(&self.pool) });
+                        }
+                        Some(Content::Held(..)) | None => self.pool.give_back(place, lease),
+                    }
                     return ended;
                 }
+                // The client has not sent all of it: that says nothing of the server, and nothing has run.
+                _ if broken && !is_whole => return Outcome::NotSent.into(),
+                // A server need not read to the end what it turns away.
+                Ok(ended) if ended.outcome == Outcome::Rejected => return ended,
                 // A pooled connection that ended before anything was written to it says nothing of the server,
                 // and no attempt was made: take the next one. A new one that ends so does say something, and
                 // to go on would be a storm of connections.
                 Err(Spoilt::Connection) if !lease.is_fresh() && written == 0 => progress.0.set(false),
-                Err(Spoilt::Connection) if written < least => return Outcome::ConnectFailed.into(),
+                Err(Spoilt::Stuck) => return Outcome::TimedOut.into(),
+                Ok(_) | Err(_) if !is_whole => return Outcome::ConnectFailed.into(),
                 Ok(_) | Err(_) => return Outcome::ConnectionReset.into(),
             }
         }
     }
 
     /// One request out and its answer in.
-    async fn exchange(&self, lease: &mut Lease, mut request: Request<Full<Bytes>>) -> Result<Ended, Spoilt> {
+    async fn exchange(&self, lease: &mut Lease, mut request: Request<Outgoing>) -> Result<Ended, Spoilt> {
         let view = lease.view.clone();
         let sender = lease.sender().ok_or(Spoilt::Connection)?;
         // Answers 1xx come ahead of the one that counts, which may take its time after them.
@@ -182,7 +227,7 @@
         view.arm(ANSWER_MOST);
         let whole = async {
             let answer = sender.try_send_request(request).await.map_err(|_| Spoilt::Connection)?;
-            self.read(answer).await
+            self.read(answer, &view).await
         };
         tokio::select! {
             biased;
@@ -191,11 +236,31 @@
         }
     }
 
-    async fn read(&self, answer: Response<hyper::body::Incoming>) -> Result<Ended, Spoilt> {
-        let (head, body) = answer.into_parts();
+    /// A short answer is read whole, so that a spoilt one is not passed on; a long one only as far as needed to tell
+    /// that it is long.
+    async fn read(&self, answer: Response<Incoming>, view: &View) -> Result<Ended, Spoilt> {
+        let (head, mut body) = answer.into_parts();
         let length = stated_length(head.status, &head.headers).ok_or(Spoilt::Answer)?;
-        let portion = self.bodies.take(length).ok_or(Spoilt::Answer)?;
-        let body = Limited::new(body, length).collect().await.map_err(|_| Spoilt::Answer)?.to_bytes();
+        let held_most = length.unwrap_or(HELD_MOST as u64).min(HELD_MOST as u64) as usize;
+        let portion = self.bodies.take(held_most).ok_or(Spoilt::Answer)?;
+        let is_long = length.is_some_and(|length| length > HELD_MOST as u64);
+        let (mut begun, mut held) = (VecDeque::new(), 0);
+        let mut ended = false;
+        while held <= HELD_MOST && !(is_long && held > 0) {
+            match body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        held += data.len();
+                        begun.push_back(data);
+                    }
+                }
+                Some(Err(_)) => return Err(Spoilt::Answer),
+                None => {
+                    ended = true;
+                    break;
+                }
+            }
+        }
         let report = head.headers.get("x-load-report").and_then(|v| self.report(v.as_bytes()));
         let turned_away = head.headers.get("x-rejected").is_some_and(|v| v == "1");
         let outcome = match head.status {
@@ -203,25 +268,34 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Rejected,
             _ => Outcome::ServerError,
         };
+        if outcome != Outcome::Success {
+            // Nobody gets its body; one that is long costs its connection.
+            return if ended { Ok(Ended { outcome, report, served: None }) } else { Err(Spoilt::Answer) };
+        }
         let content_type = head.headers.get(CONTENT_TYPE).cloned();
-        let served =
-            (outcome == Outcome::Success).then_some(Served { body, content_type, _portion: portion });
-        Ok(Ended { outcome, report, served })
+        let body = if ended {
+            Content::Held(joined(begun, held), portion)
+        } else {
+            view.lift_allowance();
+            Content::Coming(Box::new(Download::new(begun, body, length, portion)))
+        };
+        Ok(Ended { outcome, report, served: Some(Served { body, content_type }) })
     }
 
     /// Asks a server how it is.
     pub async fn probe(&self, place: Place) -> Ended {
         let uri = Uri::from_static(if self.has_reports.get() { "/stats" } else { "/health/live" });
-        let (headers, body) = (HeaderMap::new(), Bytes::new());
-        let call = Call { method: Method::GET, uri, headers, body, counters: None, _portion: None };
+        let (headers, body) = (HeaderMap::new(), Payload::Held(Bytes::new()));
+        let (method, budget) = (Method::GET, PROBE_WAIT);
+        let call = Call { method, uri, headers, body, budget, counters: None, _portion: None };
         let until = Instant::now() + PROBE_WAIT;
         let progress = Progress::default();
         let Ok(mut ended) = timeout_at(until, self.attempt(place, &call, until, &progress, || true)).await
         else {
             return Outcome::TimedOut.into();
         };
-        if let Some(served) = ended.served.take() {
-            ended.report = ended.report.or_else(|| self.report(&served.body));
+        if let Some(Served { body: Content::Held(text, _), .. }) = ended.served.take() {
+            ended.report = ended.report.or_else(|| self.report(&text));
         }
         ended
     }
@@ -255,9 +329,32 @@
     (0.0..=FIGURE_MOST).contains(&value).then_some((name.trim(), value))
 }
 
-/// The most that the body of an answer may hold by its head; `None` if that does not say where the answer ends, says
+/// The pieces of a short body as one.
+pub fn joined(pieces: impl IntoIterator<Item = Bytes>, bytes: usize) -> Bytes {
+    let mut pieces = pieces.into_iter();
+    let first = pieces.next().unwrap_or_default();
+    if first.len() == bytes {
+        return first;
+    }
+    let mut whole = BytesMut::with_capacity(bytes);
+    whole.extend_from_slice(&first);
+    pieces.for_each(|piece| whole.extend_from_slice(&piece));
+    whole.freeze()
+}
+
+/// Comes back when the peer has taken nothing of what waits to be written for too long.
+async fn stuck(view: &View) {
+    loop {
+        sleep(STUCK_LOOK).await;
+        if view.stuck_since().is_some_and(|since| since.elapsed() > STUCK_MOST) {
+            return;
+        }
+    }
+}
+
+/// The length of an answer's body by its head, or that it is chunked; `None` if that does not say where the answer ends, says
 /// it twice, or says more than any answer may hold: what is read behind such a head may be anything.
-fn stated_length(status: StatusCode, headers: &HeaderMap) -> Option<usize> {
+fn stated_length(status: StatusCode, headers: &HeaderMap) -> Option<Option<u64>> {
     let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     if status == StatusCode::SWITCHING_PROTOCOLS {
@@ -265,10 +362,10 @@
     }
     match (lengths.next(), lengths.next(), codings.next(), codings.next()) {
         (Some(length), None, None, None) => {
-            length.to_str().ok()?.parse().ok().filter(|length| *length <= BODY_MOST)
+            length.to_str().ok()?.parse().ok().filter(|length| *length <= BODY_MOST).map(Some)
         }
         (None, None, Some(coding), None) => {
-            coding.as_bytes().eq_ignore_ascii_case(b"chunked").then_some(BODY_MOST)
+            coding.as_bytes().eq_ignore_ascii_case(b"chunked").then_some(None)
         }
         _ => None,
     }
@@ -289,12 +386,12 @@
 }
 
 /// The message to a backend: the client's own, with the time that this attempt has.
-fn message(call: &Call, address: SocketAddr, until: Instant) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+fn message(call: &Call, address: SocketAddr, until: Instant) -> Request<Outgoing> {
+    let mut request = Request::new(call.body.outgoing());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
-    let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+    let left = until.saturating_duration_since(Instant::now()).min(call.budget).as_millis() as u64;
     request.headers_mut().insert("x-budget-ms", HeaderValue::from(left));
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         request.headers_mut().entry(HOST).or_insert(host);
@@ -326,7 +423,8 @@
             method: Method::POST,
             uri,
             headers,
-            body: vec![7; body].into(),
+            body: Payload::Held(vec![7; body].into()),
+            budget: Duration::from_secs(60),
             counters: None,
             _portion: None,
         }
--- /dev/null
+++ b/agent/src/download.rs
@@ -0,0 +1,120 @@
+//! Answers too long to be held whole: passed on as they come, no faster than the client takes them.
+
+use crate::budget::Portion;
+use crate::pool::{Lease, Place, Pool};
+use crate::upload::BODY_MOST;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::collections::VecDeque;
+use std::future::Future;
+use std::io::{Error, ErrorKind};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+use tokio::time::{sleep_until, Instant, Sleep};
+
+/// A backend that is waited for must send something of the answer within this.
+const SILENCE_MOST: Duration = Duration::from_secs(4);
+
+/// The connection that an answer comes on, and where it goes back to when all of it has come.
+pub struct Origin {
+    /// The connection; closed if the answer does not come whole.
+    pub lease: Lease,
+    /// What it leads to.
+    pub place: Place,
+    /// Where it came from.
+    pub pool: Rc<Pool>,
+}
+
+/// The body of an answer that is passed on while it comes.
+pub struct Download {
+    begun: VecDeque<Bytes>,
+    rest: Incoming,
+    length: Option<u64>,
+    given: u64,
+    origin: Option<Origin>,
+    waiting: bool,
+    limit: Pin<Box<Sleep>>,
+    _portion: Portion,
+}
+
+impl Download {
+    /// Of this answer so much has come.
+    pub fn new(begun: VecDeque<Bytes>, rest: Incoming, length: Option<u64>, portion: Portion) -> Self {
+        let limit = Box::pin(sleep_until(Instant::now()));
+        let (given, origin, waiting) = (0, None, false);
+        Download { begun, rest, length, given, origin, waiting, limit, _portion: portion }
+    }
+
+    /// Keeps the connection as long as the answer comes on it.
+    pub fn keep(&mut self, origin: Origin) {
+        self.origin = Some(origin);
+    }
+
+    /// All of it has come.
+    fn give_back(&mut self) {
+        if let Some(Origin { lease, place, pool }) = self.origin.take() {
+            pool.give_back(place, lease);
+        }
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
+        if let Some(data) = self.begun.pop_front() {
+            return Poll::Ready(Some(Ok(data)));
+        }
+        loop {
+            let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(cx) else {
+                if !std::mem::replace(&mut self.waiting, true) {
+                    self.limit.as_mut().reset(Instant::now() + SILENCE_MOST);
+                }
+                ready!(self.limit.as_mut().poll(cx));
+                return Poll::Ready(Some(Err(ErrorKind::TimedOut.into())));
+            };
+            self.waiting = false;
+            match frame {
+                None => return Poll::Ready(None),
+                Some(Err(e)) => return Poll::Ready(Some(Err(Error::other(e)))),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Poll::Ready(Some(Ok(data)));
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Body for Download {
+    type Data = Bytes;
+    type Error = Error;
+
+    /// An error ends the client's connection, so that it can tell that the answer is not whole.
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        let this = self.get_mut();
+        let next = ready!(this.poll_next(cx));
+        Poll::Ready(match next {
+            None => {
+                this.give_back();
+                None
+            }
+            Some(Ok(data)) => {
+                this.given += data.len() as u64;
+                if this.is_end_stream() {
+                    this.give_back();
+                }
+                let fits = this.given <= BODY_MOST;
+                Some(if fits { Ok(Frame::data(data)) } else { Err(ErrorKind::FileTooLarge.into()) })
+            }
+            Some(Err(e)) => Some(Err(e)),
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.length == Some(self.given)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.length.map_or_else(SizeHint::default, |all| SizeHint::with_exact(all.saturating_sub(self.given)))
+    }
+}
--- a/agent/src/driver.rs
+++ b/agent/src/driver.rs
@@ -5,6 +5,7 @@
 use crate::log::log;
 use crate::metrics::Levels;
 use crate::pool::{Place, Pool};
+use crate::upload::Coming;
 use hyper::header::HeaderValue;
 use ryelead::*;
 use std::cell::{Cell, RefCell};
@@ -14,7 +15,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, watch, Notify};
-use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// No attempt is waited for longer than until this before the client's deadline, so that the module can still
 /// word the final answer, and that can still arrive.
@@ -73,8 +74,10 @@
     pub cost_hint: Option<Span>,
     /// The client says that it repeats an earlier one.
     pub repeat: bool,
-    /// When the client stops waiting.
-    pub deadline: Instant,
+    /// How long the client waits once the request is whole.
+    pub budget: Duration,
+    /// When the client stops waiting; `None` while more of the request is to come.
+    pub deadline: Option<Instant>,
 }
 
 /// A request that has attempts out or still owes its answer.
@@ -82,7 +85,8 @@
     call: Rc<Call>,
     /// The client's name for it.
     call_id: HeaderValue,
-    deadline: Instant,
+    /// When the client stops waiting; `None` while more of the request is to come.
+    deadline: Option<Instant>,
     /// Gone once the request has its final answer or its client has left.
     reply: Option<oneshot::Sender<Answer>>,
     attempts: u32,
@@ -299,7 +303,7 @@
             core.open.insert(id, open);
             id
         };
-        let left = arrival.deadline.saturating_duration_since(Instant::now());
+        let left = arrival.deadline.map_or(arrival.budget, |at| at.saturating_duration_since(Instant::now()));
         self.tell(Event::Request(Request {
             id,
             class: arrival.class,
@@ -308,10 +312,20 @@
             cost_hint: arrival.cost_hint,
             repeat: arrival.repeat,
             time_left: Span(left.as_micros() as u64),
+            arriving: arrival.deadline.is_none(),
         }));
         Some((id, answer))
     }
 
+    /// The last of a request has come: its client waits until `deadline`.
+    pub fn arrived(&self, id: RequestId, deadline: Instant) {
+        if let Some(open) = self.0.core.borrow_mut().open.get_mut(&id) {
+            open.deadline = Some(deadline);
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        self.tell(Event::Arrived { request: id, time_left: Span(left.as_micros() as u64) });
+    }
+
     /// Nothing is owed to a request any more: its client has gone, or its time is up.
     pub fn abandon(&self, id: RequestId) {
         let owed = self.0.core.borrow_mut().open.get_mut(&id).is_some_and(|o| o.reply.take().is_some());
@@ -323,22 +337,29 @@
 
     /// An attempt is over: a served request has its answer at once, whatever the module thinks of it.
     fn attempt_over(&self, id: RequestId, attempt: u32, sent: Instant, ended: Ended) {
-        let closed = {
+        let (closed, spent, since) = {
             let mut core = self.0.core.borrow_mut();
             let Some(open) = core.open.get_mut(&id) else { return };
             open.out.remove(&attempt);
             if let Some((served, reply)) = ended.served.and_then(|s| Some((s, open.reply.take()?))) {
                 let _ = reply.send(Answer::Served(served));
             }
-            open.reply.is_none()
+            let upload = open.call.body.upload();
+            let spent = upload.is_some_and(|upload| upload.is_spent());
+            let since = match upload.map(|upload| upload.state()) {
+                Some(Coming::Whole(at)) => at.max(sent),
+                _ => sent,
+            };
+            (open.reply.is_none(), spent, since)
         };
         self.tell(Event::Outcome {
             request: id,
             attempt: AttemptNo(attempt),
             outcome: ended.outcome,
-            elapsed: Span(sent.elapsed().as_micros() as u64),
+            elapsed: Span(since.elapsed().as_micros() as u64),
             report: ended.report,
             closed,
+            spent,
         });
         self.forget_ended(id);
     }
@@ -400,7 +421,9 @@
         let (cancel, cancelled) = oneshot::channel();
         open.out.insert(attempt, Some(cancel));
         // Nothing is sent for a request that has its answer, nor beyond the attempts or the time it has.
-        let until = self.0.clock.instant(timeout_at).min(open.deadline - ATTEMPT_RESERVE);
+        let latest = open.deadline.map(|deadline| deadline - ATTEMPT_RESERVE);
+        let until = self.0.clock.instant(timeout_at);
+        let until = latest.map_or(until, |latest| until.min(latest));
         let lawful = open.reply.is_some() && attempt < open.max_attempts && until > now;
         let place = if lawful { core.servers.get_mut(&server).map(Server::enter) } else { None };
         let (driver, call) = (self.clone(), Rc::clone(&open.call));
@@ -426,8 +449,24 @@
     ) -> Ended {
         let progress = Progress::default();
         let exchange = self.0.backends.attempt(place, call, until, &progress, || self.may_send(place.server));
+        let late = async {
+            match call.body.upload() {
+                Some(upload) => match upload.ended().await {
+                    Coming::Whole(at) => sleep_until((at + call.budget - ATTEMPT_RESERVE).min(until)).await,
+                    // The exchange sees that too, and knows what it means.
+                    _ => std::future::pending().await,
+                },
+                None => sleep_until(until).await,
+            }
+        };
+        let in_time = async {
+            tokio::select! {
+                ended = exchange => Ok(ended),
+                () = late => Err(()),
+            }
+        };
         tokio::select! {
-            ended = timeout_at(until, exchange) => match ended {
+            ended = in_time => match ended {
                 Ok(ended) => ended,
                 Err(_) if progress.is_sent() => Outcome::TimedOut.into(),
                 // The time was used up by waiting for a connection.
@@ -580,6 +619,7 @@
 mod tests {
     use super::*;
     use crate::budget::Budget;
+    use crate::upload::Payload;
     use hyper::{HeaderMap, Method, Uri};
     use std::net::SocketAddr;
     use tokio::net::TcpListener;
@@ -612,13 +652,14 @@
             method: Method::GET,
             uri,
             headers,
-            body: bytes::Bytes::new(),
+            body: Payload::Held(bytes::Bytes::new()),
+            budget: Duration::from_secs(60),
             counters: None,
             _portion: None,
         };
-        let deadline = Instant::now() + Duration::from_secs(60);
+        let (budget, deadline) = (call.budget, Some(Instant::now() + call.budget));
         let (class, tenant, key, cost_hint, repeat) = (ClassId(0), None, None, None, false);
-        let arrival = Arrival { class, tenant, key, cost_hint, repeat, deadline };
+        let arrival = Arrival { class, tenant, key, cost_hint, repeat, budget, deadline };
         driver.submit(call, HeaderValue::from_static("id"), arrival).expect("the only one of its name")
     }
 
--- a/agent/src/intake.rs
+++ b/agent/src/intake.rs
@@ -1,11 +1,12 @@
 //! Reads a client's request and checks all that can be wrong with it, before anything is done for it.
 
-use crate::backend::{Call, BODY_MOST};
+use crate::backend::{joined, Call};
 use crate::budget::Budget;
 use crate::driver::Arrival;
 use crate::metrics::ClassCounters;
 use crate::seats::Seat;
-use http_body_util::{BodyExt, Limited};
+use crate::upload::{Broken, Payload, Source, Upload, BODY_MOST, HELD_MOST};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
@@ -16,8 +17,6 @@
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
-/// A client that has sent the head of a request must have sent the rest within this.
-const BODY_WAIT: Duration = Duration::from_millis(1500);
 /// What a client goes on sending after it was turned away is read and thrown away within these bounds: a close with
 /// bytes unread would take the answer back.
 const DISCARD_MOST: usize = 256 * 1024;
@@ -66,8 +65,6 @@
     pub call_id: HeaderValue,
     /// As it goes to the module.
     pub arrival: Arrival,
-    /// Bytes that belong to it, where its head says so.
-    pub bytes: Option<u64>,
 }
 
 /// What the head alone shows of a request that can be passed on.
@@ -76,8 +73,6 @@
     pub class: Rc<Class>,
     call_id: HeaderValue,
     budget: Duration,
-    head_bytes: u64,
-    /// Its head.
     head: hyper::http::request::Parts,
     body: Incoming,
 }
@@ -89,9 +84,9 @@
     (StatusCode::BAD_REQUEST, why)
 }
 
-/// More has come than the request: clients send one at a time, so its length was wrong, or another hides behind it.
-pub fn check_end(seat: &Seat, bytes: Option<u64>) -> Result<(), Fault> {
-    if bytes.is_some_and(|bytes| seat.view().head().fed() > bytes) {
+/// More has come than the request and no other: its length was wrong.
+pub fn check_end(seat: &Seat) -> Result<(), Fault> {
+    if seat.view().has_junk() {
         return Err(bad("more has come than the request"));
     }
     Ok(())
@@ -107,9 +102,7 @@
     pub fn check(&self, seat: &Seat, request: Request<Incoming>) -> Result<Checked, Fault> {
         let (head, body) = request.into_parts();
         match self.check_head(seat, &head, &body) {
-            Ok((class, call_id, budget, head_bytes)) => {
-                Ok(Checked { class, call_id, budget, head_bytes, head, body })
-            }
+            Ok((class, call_id, budget)) => Ok(Checked { class, call_id, budget, head, body }),
             Err(fault) => {
                 discard(body);
                 Err(fault)
@@ -119,24 +112,40 @@
 
     /// Reads the rest of a request; whatever is wrong with it ends here.
     pub async fn read(&self, seat: &Seat, checked: Checked) -> Result<Taken, Fault> {
-        let Checked { class, call_id, budget, head_bytes, head, body } = checked;
+        let Checked { class, call_id, budget, head, body } = checked;
         let stated = body.size_hint().exact();
-        let Some(portion) = self.bodies.take(stated.map_or(BODY_MOST, |bytes| bytes as usize)) else {
+        let held_most = stated.map_or(HELD_MOST, |bytes| HELD_MOST.min(bytes as usize));
+        let Some(portion) = self.bodies.take(held_most) else {
             discard(body);
             return Err((StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now"));
         };
-        let body = match timeout(BODY_WAIT, Limited::new(body, BODY_MOST).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-                return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
+        let mut source = Source::new(body);
+        let (mut begun, mut held) = (Vec::new(), 0);
+        let mut ended = stated == Some(0);
+        while !ended && held <= HELD_MOST {
+            match source.next().await {
+                Some(Ok(data)) => {
+                    held += data.len();
+                    begun.push(data);
+                    // A long body goes on at once.
+                    ended = stated == Some(held as u64);
+                    if stated.is_some_and(|all| all > HELD_MOST as u64) {
+                        break;
+                    }
+                }
+                Some(Err(broken)) => return Err(fault_of(broken)),
+                None => ended = true,
             }
-            Ok(Err(_)) => return Err(bad("the body can't be read")),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
+        }
+        check_end(seat)?;
+        let body = if ended {
+            Payload::Held(joined(begun, held))
+        } else {
+            Payload::Coming(Upload::new(begun, source, stated))
         };
-        let bytes = stated.map(|body| head_bytes + body);
-        check_end(seat, bytes)?;
-        // The client's time runs from the last byte of its request, which has just come.
-        let deadline = Instant::now() + budget.min(class.deadline());
+        let budget = budget.min(class.deadline());
+        // The client's time runs from the last byte of its request.
+        let deadline = ended.then(|| Instant::now() + budget);
         let cost = text(&head.headers, "x-call-cost").and_then(|t| t.parse::<f64>().ok());
         let tenant = text(&head.headers, "x-caller");
         let arrival = Arrival {
@@ -145,6 +154,7 @@
             key: one(&head.headers, "x-route-hash").map(|key| KeyId(hash(key.as_bytes()))),
             cost_hint: cost.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span::from_ms(us / 1e3)),
             repeat: text(&head.headers, "x-again") == Some("1"),
+            budget,
             deadline,
         };
         let mut headers = HeaderMap::with_capacity(6);
@@ -160,10 +170,11 @@
             uri,
             headers,
             body,
+            budget,
             counters: Some(Rc::clone(&class.counters)),
             _portion: Some(portion),
         };
-        Ok(Taken { call, call_id, arrival, bytes })
+        Ok(Taken { call, call_id, arrival })
     }
 
     /// What the head alone shows: the class, the name, the client's time and the head's length.
@@ -172,11 +183,9 @@
         seat: &Seat,
         head: &hyper::http::request::Parts,
         body: &Incoming,
-    ) -> Result<(Rc<Class>, HeaderValue, Duration, u64), Fault> {
-        // One that was not seen from its first byte came together with the request before it.
-        let raw = seat.view().head();
-        let head_bytes = raw.len().ok_or(bad("one request at a time"))?;
-        if !matches!(raw.framings(), (0 | 1, 0) | (0, 1)) {
+    ) -> Result<(Rc<Class>, HeaderValue, Duration), Fault> {
+        let framing = seat.view().next_head().ok_or(bad("the head can't be read"))?;
+        if !framing.is_clear() {
             return Err(bad("the length is stated twice"));
         }
         let name = text(&head.headers, "x-call-class").ok_or(bad("X-Call-Class is missing"))?;
@@ -199,10 +208,19 @@
         if head.uri.path_and_query().is_none_or(|p| !p.as_str().starts_with('/')) {
             return Err(bad("no path"));
         }
-        if body.size_hint().lower() > BODY_MOST as u64 {
-            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
+        if body.size_hint().lower() > BODY_MOST {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB"));
         }
-        Ok((Rc::clone(class), call_id, Duration::from_millis(budget), head_bytes))
+        Ok((Rc::clone(class), call_id, Duration::from_millis(budget)))
+    }
+}
+
+/// What is wrong with a request whose body did not come whole.
+pub fn fault_of(broken: Broken) -> Fault {
+    match broken {
+        Broken::Unreadable => bad("the body can't be read"),
+        Broken::Slow => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+        Broken::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MiB"),
     }
 }
 
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod config;
 mod discovery;
+mod download;
 mod driver;
 mod handover;
 mod head;
@@ -16,6 +17,7 @@
 mod rest;
 mod seats;
 mod server;
+mod upload;
 mod wire;
 
 use backend::Backends;
--- a/agent/src/pool.rs
+++ b/agent/src/pool.rs
@@ -1,9 +1,8 @@
 //! The connections to backends: at work, idle, or not there yet.
 
 use crate::rest::Rest;
+use crate::upload::Outgoing;
 use crate::wire::{Gauge, View, Wire};
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use ryelead::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
@@ -37,7 +36,7 @@
 
 /// A connection that carries no request.
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     view: View,
     task: AbortHandle,
     since: Instant,
@@ -72,7 +71,7 @@
 /// Closes its connection when dropped, unless that has been given back: nobody waits on it any more, and what
 /// still came on it would be taken for the answer to the next request.
 pub struct Lease {
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<SendRequest<Outgoing>>,
     /// Its socket.
     pub view: View,
     task: AbortHandle,
@@ -87,7 +86,7 @@
     }
 
     /// What sends on it.
-    pub fn sender(&mut self) -> Option<&mut SendRequest<Full<Bytes>>> {
+    pub fn sender(&mut self) -> Option<&mut SendRequest<Outgoing>> {
         self.sender.as_mut()
     }
 }
--- a/agent/src/seats.rs
+++ b/agent/src/seats.rs
@@ -8,22 +8,24 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// A new connection must have sent its first request whole within this.
-const FIRST_WAIT: Duration = Duration::from_secs(2);
-/// And a later request must be whole this long after its first byte.
-const READ_WAIT: Duration = Duration::from_millis(1500);
+/// The first head must have come this long after its connection, and a later one this long after its first byte: clients
+/// may spend 2 s on one. Bodies have limits of their own.
+const READ_WAIT: Duration = Duration::from_millis(2600);
+/// A new connection that has said nothing at all is let go sooner.
+const FIRST_WAIT: Duration = Duration::from_millis(2200);
 /// An idle connection that has carried a request may stay this long.
 const IDLE_WAIT: Duration = Duration::from_secs(60);
 /// Where there are many, only this long.
 const CROWD_WAIT: Duration = Duration::from_secs(2);
 /// A client that takes nothing of its answer for this long gets no more of it.
-const STUCK_WAIT: Duration = Duration::from_secs(2);
+const STUCK_WAIT: Duration = Duration::from_secs(4);
 /// How long a connection that has been turned away may take to end.
 const LEAVE_WAIT: Duration = Duration::from_millis(600);
 /// A connection that has said nothing, or only half of a request, for this long makes room before any that has
 /// carried a request does.
 const SILENT_FAIR: Duration = Duration::from_millis(50);
 const READING_FAIR: Duration = Duration::from_millis(150);
+const BODY_FAIR: Duration = Duration::from_millis(500);
 
 /// What a connection is doing.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -32,6 +34,8 @@
     Waiting,
     /// A request has begun to come.
     Reading,
+    /// Its head has come; what there is of a body may still be coming.
+    Body,
     /// A request is whole and owed its answer.
     Busy,
     /// It has been turned away.
@@ -55,6 +59,13 @@
     used: Cell<bool>,
     /// It has been used more than once, so its client may come back.
     reused: Cell<bool>,
+    /// A long answer is being passed on, and the connection ends after it or not.
+    passing: Cell<bool>,
+    leaves: Cell<bool>,
+    /// What comes is still of a request that has its answer.
+    discards: Cell<bool>,
+    /// What had been received at the last change, and when that was seen.
+    heard: Cell<(u64, Instant)>,
     /// What had been received when the last answer was given.
     mark: Cell<u64>,
     end: Cell<Option<End>>,
@@ -74,7 +85,14 @@
 
     /// It owes an answer.
     pub fn is_busy(&self) -> bool {
-        self.phase.get() == Phase::Busy
+        matches!(self.phase.get(), Phase::Body | Phase::Busy)
+    }
+
+    /// What is left of a body is read and thrown away, or no longer.
+    pub fn discard(&self, discards: bool) {
+        self.discards.set(discards);
+        self.mark.set(self.view.received());
+        self.since.set(Instant::now());
     }
 
     fn enter(&self, phase: Phase) {
@@ -85,9 +103,7 @@
     /// The head of a request has come.
     pub fn begin(&self) {
         self.reused.set(self.used.replace(true));
-        if self.phase.get() != Phase::Reading {
-            self.enter(Phase::Reading);
-        }
+        self.enter(Phase::Body);
     }
 
     /// The request is whole.
@@ -95,10 +111,24 @@
         self.enter(Phase::Busy);
     }
 
+    /// Its answer is a long one, which is passed on as it comes.
+    pub fn pass_on(&self) {
+        self.passing.set(true);
+    }
+
+    /// The end of a long answer.
+    pub fn passed_on(&self) {
+        self.passing.set(false);
+        self.answer(self.leaves.get());
+    }
+
     /// It has its answer; the connection ends with it if it `leaves`.
     pub fn answer(&self, leaves: bool) {
+        self.leaves.set(leaves);
+        if self.passing.get() {
+            return;
+        }
         self.mark.set(self.view.received());
-        self.view.expect_head();
         self.enter(if leaves { Phase::Leaving } else { Phase::Waiting });
     }
 
@@ -118,6 +148,12 @@
     /// Whether its time is over.
     fn overdue(&self, now: Instant) -> Option<End> {
         let received = self.view.received();
+        if self.heard.get().0 != received {
+            self.heard.set((received, now));
+        }
+        if self.discards.get() {
+            return None;
+        }
         if self.phase.get() == Phase::Waiting && received > self.mark.get() {
             // A new connection has its time for the whole request from its start.
             self.phase.set(Phase::Reading);
@@ -134,7 +170,7 @@
             Phase::Waiting => (age > FIRST_WAIT).then_some(End::AtOnce),
             Phase::Reading => (age > READ_WAIT).then_some(End::AtOnce),
             Phase::Leaving => (age > LEAVE_WAIT).then_some(End::AtOnce),
-            Phase::Busy => None,
+            Phase::Body | Phase::Busy => None,
         }
     }
 
@@ -146,6 +182,11 @@
         let rank = match self.phase.get() {
             _ if self.end.get().is_some() => None,
             Phase::Busy => None,
+            // A body that goes on coming is no reason to end it.
+            Phase::Body => {
+                let quiet = now.saturating_duration_since(self.heard.get().1);
+                (age.min(quiet) > BODY_FAIR).then_some(1)
+            }
             Phase::Leaving => (age > READING_FAIR).then_some(0),
             Phase::Waiting if !self.used.get() && !heard => (age > SILENT_FAIR).then_some(0),
             Phase::Waiting if self.used.get() && !heard => Some(2),
@@ -187,6 +228,10 @@
             since: Cell::new(Instant::now()),
             used: Cell::new(false),
             reused: Cell::new(false),
+            passing: Cell::new(false),
+            leaves: Cell::new(false),
+            discards: Cell::new(false),
+            heard: Cell::new((0, Instant::now())),
             mark: Cell::new(0),
             end: Cell::new(None),
             ending: Notify::new(),
@@ -245,7 +290,7 @@
 
     /// How many owe an answer, or have begun to read a request and so may owe one soon.
     pub fn owed(&self) -> usize {
-        let owes = |seat: &&Rc<Seat>| matches!(seat.phase.get(), Phase::Busy | Phase::Reading);
+        let owes = |seat: &&Rc<Seat>| matches!(seat.phase.get(), Phase::Busy | Phase::Body | Phase::Reading);
         self.seats.borrow().values().filter(owes).count()
     }
 }
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -1,26 +1,31 @@
 //! The clients' side: takes requests in and gives each exactly one answer.
 
+use crate::backend::Content;
+use crate::budget::Portion;
+use crate::download::Download;
 use crate::driver::{Answer, Driver};
-use crate::intake::{check_end, Catalogue, Taken};
+use crate::intake::{check_end, fault_of, Catalogue, Fault, Taken};
 use crate::log::log;
 use crate::metrics::{ClassCounters, Metrics};
 use crate::ops::Shown;
 use crate::seats::{End, Seat, Seats};
-use crate::wire::{Gauge, Wire};
+use crate::upload::Coming;
+use crate::wire::{Gauge, Ticket, Wire};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use ryelead::{RequestId, Span};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// A client that hears nothing from the module gets its answer this long before it stops waiting.
 const ANSWER_RESERVE: Duration = Duration::from_millis(6);
@@ -207,8 +212,9 @@
     }
 
     /// One request, one answer.
-    async fn handle(&self, seat: &Seat, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn handle(&self, seat: &Rc<Seat>, request: Request<Incoming>) -> Response<Reply> {
         if request.uri().path() == "/health/ready" && request.method() == Method::GET {
+            let _ = seat.view().next_head();
             let ready = self.driver.can_decide();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
@@ -220,40 +226,156 @@
         let counters = Rc::clone(&checked.class.counters);
         let answer = match catalogue.read(seat, checked).await {
             Ok(taken) => {
-                seat.take();
-                let _in_flight = self.metrics.take();
-                let bytes = taken.bytes;
-                let answer = self.pass_on(taken).await;
-                check_end(seat, bytes).map(|()| answer)
+                let upload = taken.call.body.upload().map(Rc::clone);
+                let answer = self.pass_on(seat, taken).await;
+                if let Some(rest) = upload.and_then(|upload| upload.give_up()) {
+                    seat.discard(true);
+                    let seat = Rc::clone(seat);
+                    tokio::task::spawn_local(async move {
+                        rest.discard().await;
+                        seat.discard(false);
+                    });
+                }
+                check_end(seat).and(answer)
             }
             Err(fault) => Err(fault),
         };
-        let answer = answer.unwrap_or_else(|(status, why)| turned_away(status, why));
-        count(&counters, answer.status());
+        let mut answer = answer.unwrap_or_else(|(status, why)| turned_away(status, why));
+        match answer.body_mut() {
+            // It is served once the client has all of it.
+            Reply::Passing(passing) => passing.counters = Some(counters),
+            Reply::Held(..) => count(&counters, answer.status()),
+        }
         answer
     }
 
-    async fn pass_on(&self, taken: Taken) -> Response<Full<Bytes>> {
-        let deadline = taken.arrival.deadline;
-        let Some((id, answer)) = self.driver.submit(taken.call, taken.call_id, taken.arrival) else {
-            return turned_away(StatusCode::CONFLICT, "X-Call-Id is in use");
+    async fn pass_on(&self, seat: &Rc<Seat>, taken: Taken) -> Result<Response<Reply>, Fault> {
+        let Taken { call, call_id, arrival } = taken;
+        let (budget, mut deadline) = (arrival.budget, arrival.deadline);
+        let upload = call.body.upload().map(Rc::clone);
+        let mut in_flight = None;
+        if deadline.is_some() {
+            seat.take();
+            in_flight = Some(self.metrics.take());
+        }
+        let Some((id, answer)) = self.driver.submit(call, call_id, arrival) else {
+            return Err((StatusCode::CONFLICT, "X-Call-Id is in use"));
         };
         // Dropped by hyper with this future when the client closes its connection.
         let pending = Pending { driver: self.driver.clone(), id };
-        let answer = timeout_at(deadline - ANSWER_RESERVE.min(deadline - Instant::now()), answer).await;
+        let mut answer = pin!(answer);
+        let answer = loop {
+            let late = async {
+                match (deadline, &upload) {
+                    (Some(at), _) => {
+                        sleep_until(at - ANSWER_RESERVE.min(at.saturating_duration_since(Instant::now())))
+                            .await;
+                        None
+                    }
+                    (None, Some(upload)) => Some(upload.ended().await),
+                    (None, None) => None,
+                }
+            };
+            tokio::select! {
+                biased;
+                answer = answer.as_mut() => break Some(answer),
+                ended = late => match ended {
+                    Some(Coming::Whole(at)) => {
+                        deadline = Some(at + budget);
+                        seat.take();
+                        in_flight = Some(self.metrics.take());
+                        self.driver.arrived(id, at + budget);
+                    }
+                    Some(Coming::Broken(broken)) => return Err(fault_of(broken)),
+                    Some(Coming::More) | None => break None,
+                },
+            }
+        };
         drop(pending);
-        match answer {
-            Ok(Ok(Answer::Served(served))) => {
-                let mut answer = Response::new(Full::new(served.body));
+        Ok(match answer {
+            Some(Ok(Answer::Served(served))) => {
+                let body = match served.body {
+                    Content::Held(bytes, portion) => Reply::Held(Full::new(bytes), Some(portion)),
+                    Content::Coming(download) => {
+                        let (seat, counters) = (Rc::clone(seat), None);
+                        seat.pass_on();
+                        Reply::Passing(Passing {
+                            download,
+                            seat,
+                            counters,
+                            whole: false,
+                            _in_flight: in_flight,
+                        })
+                    }
+                };
+                let mut answer = Response::new(body);
                 if let Some(kind) = served.content_type {
                     answer.headers_mut().insert(CONTENT_TYPE, kind);
                 }
                 answer
             }
-            Ok(Ok(Answer::Refused(retry_after))) => refused(retry_after),
-            Ok(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed"),
+            Some(Ok(Answer::Refused(retry_after))) => refused(retry_after),
+            Some(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed"),
             // The promise of one answer in time does not hang on the module.
-            Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
+            None => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
+        })
+    }
+}
+
+/// The body of an answer.
+enum Reply {
+    /// All of it, and the memory that it holds.
+    Held(Full<Bytes>, #[expect(dead_code, reason = "held until the client has the bytes")] Option<Portion>),
+    Passing(Passing),
+}
+
+/// An answer that is passed on as it comes.
+struct Passing {
+    download: Box<Download>,
+    seat: Rc<Seat>,
+    counters: Option<Rc<ClassCounters>>,
+    whole: bool,
+    _in_flight: Option<Ticket>,
+}
+
+impl Drop for Passing {
+    fn drop(&mut self) {
+        if let Some(counters) = &self.counters {
+            count(counters, if self.whole { StatusCode::OK } else { StatusCode::BAD_GATEWAY });
+        }
+        self.seat.passed_on();
+    }
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        match self.get_mut() {
+            Reply::Held(body, _) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Reply::Passing(passing) => {
+                let frame = ready!(Pin::new(&mut passing.download).poll_frame(cx));
+                passing.whole = passing.download.is_end_stream() || frame.is_none();
+                Poll::Ready(frame)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Reply::Held(body, _) => body.is_end_stream(),
+            Reply::Passing(passing) => passing.download.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Reply::Held(body, _) => body.size_hint(),
+            Reply::Passing(passing) => passing.download.size_hint(),
         }
     }
 }
@@ -279,14 +401,14 @@
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: &'static str) -> Response<Reply> {
+    let mut answer = Response::new(Reply::Held(Full::new(Bytes::from_static(text.as_bytes())), None));
     *answer.status_mut() = status;
     answer
 }
 
 /// A refusal, with the time to come back after.
-fn refused(retry_after: Option<Span>) -> Response<Full<Bytes>> {
+fn refused(retry_after: Option<Span>) -> Response<Reply> {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
     if let Some(Ok(value)) = retry_after.map(|s| HeaderValue::try_from(format!("{:.3}", s.ms() / 1e3))) {
         answer.headers_mut().insert(RETRY_AFTER, value);
@@ -295,7 +417,7 @@
 }
 
 /// An answer to what can't be used; whatever else may come on its connection is not waited for.
-fn turned_away(status: StatusCode, why: &'static str) -> Response<Full<Bytes>> {
+fn turned_away(status: StatusCode, why: &'static str) -> Response<Reply> {
     let mut answer = match status {
         StatusCode::SERVICE_UNAVAILABLE => refused(Some(BODY_RETRY)),
         status => plain(status, why),
--- /dev/null
+++ b/agent/src/upload.rs
@@ -0,0 +1,278 @@
+//! Bodies of requests: what is short is held whole; of what is longer the beginning is held, and the rest goes on to
+//! a backend as it comes, no faster than that backend takes it.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::cell::{Cell, RefCell};
+use std::future::{poll_fn, Future};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{sleep_until, Instant, Sleep};
+
+/// The largest body that either side may send.
+pub const BODY_MOST: u64 = 32 * 1024 * 1024;
+/// Of a body so much is held; one that is no longer can be sent again.
+pub const HELD_MOST: usize = 64 * 1024;
+/// A client that is waited for must send something within this,
+const SILENCE_MOST: Duration = Duration::from_millis(1200);
+/// and over the whole body be waited for no longer than this and a time for each byte. Clients may send 64 kB a
+/// second; half of that leaves room for what the machine delays.
+const WAIT_BASE: Duration = Duration::from_millis(1500);
+const WAIT_BYTES_PER_S: f64 = 32_000.0;
+
+/// Why a body did not come whole.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Broken {
+    /// Its connection or its coding broke.
+    Unreadable,
+    /// It came too slowly or stopped.
+    Slow,
+    /// There is more of it than may be.
+    TooLong,
+}
+
+/// A body as it comes from a client, at the pace of whoever reads it.
+pub struct Source {
+    body: Incoming,
+    read: u64,
+    /// How long the client was waited for in all, and since when it is now.
+    waited: Duration,
+    waiting_since: Option<Instant>,
+    limit: Pin<Box<Sleep>>,
+}
+
+impl Source {
+    /// Nothing read yet.
+    pub fn new(body: Incoming) -> Self {
+        let limit = Box::pin(sleep_until(Instant::now()));
+        Source { body, read: 0, waited: Duration::ZERO, waiting_since: None, limit }
+    }
+
+    /// The next bytes; `None` at the end. Time counts against the client only while it is waited for.
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        loop {
+            let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
+                if self.waiting_since.is_none() {
+                    let now = Instant::now();
+                    self.waiting_since = Some(now);
+                    let earned = Duration::from_secs_f64(self.read as f64 / WAIT_BYTES_PER_S);
+                    let left = (WAIT_BASE + earned).saturating_sub(self.waited);
+                    self.limit.as_mut().reset(now + left.min(SILENCE_MOST));
+                }
+                ready!(self.limit.as_mut().poll(cx));
+                return Poll::Ready(Some(Err(Broken::Slow)));
+            };
+            if let Some(since) = self.waiting_since.take() {
+                self.waited += since.elapsed();
+            }
+            return Poll::Ready(match frame {
+                None => None,
+                Some(Err(_)) => Some(Err(Broken::Unreadable)),
+                Some(Ok(frame)) => match frame.into_data() {
+                    // Trailers say nothing that a backend needs.
+                    Err(_) => continue,
+                    Ok(data) => {
+                        self.read += data.len() as u64;
+                        let fits = self.read <= BODY_MOST;
+                        Some(if fits { Ok(data) } else { Err(Broken::TooLong) })
+                    }
+                },
+            });
+        }
+    }
+
+    /// The next bytes; `None` at the end.
+    pub async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        poll_fn(|cx| self.poll_next(cx)).await
+    }
+
+    /// Reads on what nobody wants, so that its client comes to read its answer; what it says too late or too long
+    /// ends it.
+    pub async fn discard(mut self) {
+        while let Some(Ok(_)) = self.next().await {}
+    }
+}
+
+/// How far a long body has come.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Coming {
+    /// More of it is to come.
+    More,
+    /// Its last byte came then.
+    Whole(Instant),
+    /// It will not come whole.
+    Broken(Broken),
+}
+
+/// A body too long to be held whole.
+pub struct Upload {
+    /// Its beginning, until more than that has been taken.
+    held: RefCell<Vec<Bytes>>,
+    rest: RefCell<Option<Source>>,
+    /// Bytes of it in all, if its head says so.
+    length: Option<u64>,
+    spent: Cell<bool>,
+    coming: watch::Sender<Coming>,
+}
+
+impl Upload {
+    /// A body of which this has come.
+    pub fn new(held: Vec<Bytes>, rest: Source, length: Option<u64>) -> Rc<Self> {
+        let coming = watch::Sender::new(Coming::More);
+        let (held, rest) = (RefCell::new(held), RefCell::new(Some(rest)));
+        Rc::new(Upload { held, rest, length, spent: Cell::new(false), coming })
+    }
+
+    /// What it holds is not all that an attempt had any more.
+    pub fn is_spent(&self) -> bool {
+        self.spent.get()
+    }
+
+    /// How far it has come.
+    pub fn state(&self) -> Coming {
+        *self.coming.borrow()
+    }
+
+    /// Comes back when the last of it has come, or never will.
+    pub async fn ended(&self) -> Coming {
+        let mut coming = self.coming.subscribe();
+        let ended = coming.wait_for(|coming| *coming != Coming::More).await;
+        ended.map_or(Coming::Broken(Broken::Unreadable), |coming| *coming)
+    }
+
+    /// How many bytes an attempt must have written of it to have written all; `None` while nobody knows.
+    pub fn bytes(&self) -> Option<u64> {
+        match (self.length, self.state(), &*self.rest.borrow()) {
+            (Some(length), ..) => Some(length),
+            (None, Coming::Whole(_), Some(rest)) => Some(rest.read),
+            _ => None,
+        }
+    }
+
+    /// Nothing will be sent of it any more. What its client may still be writing has to be read, or it would not come
+    /// to read its answer; `None` if there is no more.
+    pub fn give_up(&self) -> Option<Source> {
+        self.spent.set(true);
+        let more = self.coming.send_if_modified(|coming| {
+            let more = *coming == Coming::More;
+            if more {
+                *coming = Coming::Broken(Broken::Unreadable);
+            }
+            more
+        });
+        self.rest.borrow_mut().take().filter(|_| more)
+    }
+
+    fn poll_rest(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        if let Coming::Whole(_) = self.state() {
+            return Poll::Ready(None);
+        }
+        let mut rest = self.rest.borrow_mut();
+        let Some(rest) = rest.as_mut() else { return Poll::Ready(Some(Err(Broken::Unreadable))) };
+        let next = ready!(rest.poll_next(cx));
+        match &next {
+            Some(Ok(_)) => {
+                self.spent.set(true);
+                self.held.borrow_mut().clear();
+                if self.length == Some(rest.read) {
+                    self.coming.send_replace(Coming::Whole(Instant::now()));
+                }
+            }
+            Some(Err(broken)) => drop(self.coming.send_replace(Coming::Broken(*broken))),
+            None => drop(self.coming.send_replace(Coming::Whole(Instant::now()))),
+        }
+        Poll::Ready(next)
+    }
+}
+
+/// The body of a request that is passed on.
+#[derive(Clone)]
+pub enum Payload {
+    /// All of it.
+    Held(Bytes),
+    /// Its beginning; the rest is to come.
+    Coming(Rc<Upload>),
+}
+
+impl Payload {
+    /// The long body that this is, if it is one.
+    pub fn upload(&self) -> Option<&Rc<Upload>> {
+        match self {
+            Payload::Held(_) => None,
+            Payload::Coming(upload) => Some(upload),
+        }
+    }
+
+    /// As one attempt sends it.
+    pub fn outgoing(&self) -> Outgoing {
+        match self {
+            Payload::Held(bytes) => Outgoing::Held(Full::new(bytes.clone())),
+            Payload::Coming(upload) => Outgoing::Coming { upload: Rc::clone(upload), next: 0, written: 0 },
+        }
+    }
+}
+
+/// A request's body on its way to a backend.
+pub enum Outgoing {
+    /// Held whole.
+    Held(Full<Bytes>),
+    /// What is held, and then what comes.
+    Coming {
+        /// Where it comes from.
+        upload: Rc<Upload>,
+        /// The next held piece.
+        next: usize,
+        /// Bytes given out so far.
+        written: u64,
+    },
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        match self.get_mut() {
+            Outgoing::Held(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Outgoing::Coming { upload, next, written } => {
+                let held = upload.held.borrow().get(*next).cloned();
+                let data = match held {
+                    Some(data) => {
+                        *next += 1;
+                        Some(Ok(data))
+                    }
+                    None => ready!(upload.poll_rest(cx)),
+                };
+                let broken = |_| std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
+                Poll::Ready(data.map(|data| {
+                    let data = data.map_err(broken)?;
+                    *written += data.len() as u64;
+                    Ok(Frame::data(data))
+                }))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Outgoing::Held(body) => body.is_end_stream(),
+            Outgoing::Coming { .. } => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Outgoing::Held(body) => body.size_hint(),
+            Outgoing::Coming { upload, written, .. } => {
+                upload.length.map_or_else(SizeHint::default, |all| SizeHint::with_exact(all - written))
+            }
+        }
+    }
+}
--- a/agent/src/wire.rs
+++ b/agent/src/wire.rs
@@ -1,7 +1,7 @@
 //! A TCP stream as hyper wants it, which also tells what hyper hides: how much was read and written, whether the peer
-//! has closed, and what the head of a request says of its length.
+//! has closed, and what the heads of requests say of their length.
 
-use crate::head::Head;
+use crate::head::{Framing, Requests};
 use crate::metrics::ClassCounters;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
@@ -15,7 +15,9 @@
 use tokio::time::Instant;
 
 /// Read at a time; a message is seldom longer.
-const CHUNK: usize = 8 * 1024;
+const CHUNK: usize = 16 * 1024;
+/// What the machine may hold of what is to be sent: with more, a slow peer would seem to take nothing for long.
+const SEND_BUFFER: usize = 64 * 1024;
 
 thread_local! {
     /// Where bytes stand between the kernel and hyper, for one read at a time.
@@ -59,8 +61,8 @@
     armed: Cell<Option<u64>>,
     /// Since when the peer has taken nothing of what waits to be written.
     stuck_since: Cell<Option<Instant>>,
-    /// The head of the request that is being read, on a client's connection.
-    head: Option<RefCell<Head>>,
+    /// The requests that come, on a client's connection.
+    requests: Option<RefCell<Requests>>,
     arrived: Notify,
     /// Counts an attempt once so many bytes have been written.
     tally: RefCell<Option<(u64, Rc<ClassCounters>)>>,
@@ -71,7 +73,9 @@
     fn give_out(&self, bytes: usize) {
         let written = self.written.get() + bytes as u64;
         self.written.set(written);
-        self.stuck_since.set(None);
+        if bytes > 0 {
+            self.stuck_since.set(None);
+        }
         let mut tally = self.tally.borrow_mut();
         if let Some((_, counters)) = tally.take_if(|(goal, _)| written >= *goal) {
             counters.attempts.add();
@@ -84,8 +88,8 @@
             let left = left.checked_sub(bytes.len() as u64).ok_or(io::ErrorKind::FileTooLarge)?;
             self.allowance.set(Some(left));
         }
-        if let Some(head) = &self.head {
-            head.borrow_mut().feed(bytes);
+        if let Some(requests) = &self.requests {
+            requests.borrow_mut().feed(bytes);
         }
         self.arrived.notify_one();
         Ok(())
@@ -120,16 +124,14 @@
         self.meter.arrived.notified().await;
     }
 
-    /// The head of the present request, from its first byte.
-    pub fn head(&self) -> Head {
-        self.meter.head.as_ref().map(|head| head.borrow().clone()).unwrap_or_default()
+    /// What the head of the next request says, in the order in which they came.
+    pub fn next_head(&self) -> Option<Framing> {
+        self.meter.requests.as_ref().and_then(|requests| requests.borrow_mut().next_head())
     }
 
-    /// The next byte that is read belongs to a new request.
-    pub fn expect_head(&self) {
-        if let Some(head) = &self.meter.head {
-            *head.borrow_mut() = Head::default();
-        }
+    /// More has come than a request, and it is not the beginning of another.
+    pub fn has_junk(&self) -> bool {
+        self.meter.requests.as_ref().is_some_and(|requests| requests.borrow().has_junk())
     }
 
     /// A request is about to be written. Whatever comes before its first byte is no answer to it and ends the
@@ -139,9 +141,20 @@
         self.meter.allowance.set(Some(allowance));
     }
 
-    /// Counts an attempt for `counters` when `bytes` more than now have been written.
-    pub fn count_after(&self, bytes: u64, counters: Option<Rc<ClassCounters>>) {
-        *self.meter.tally.borrow_mut() = counters.map(|counters| (self.written() + bytes, counters));
+    /// Counts an attempt for `counters` when so many bytes have been written in all.
+    pub fn count_at(&self, goal: u64, counters: Option<Rc<ClassCounters>>) {
+        *self.meter.tally.borrow_mut() = counters.map(|counters| (goal, counters));
+        self.meter.give_out(0);
+    }
+
+    /// Of what is written nothing is counted any more.
+    pub fn count_nothing(&self) {
+        *self.meter.tally.borrow_mut() = None;
+    }
+
+    /// The answer that comes is a long one; whoever reads it sees to its end.
+    pub fn lift_allowance(&self) {
+        self.meter.allowance.set(None);
     }
 
     /// True if an idle connection still is one: nothing has come on it, no close and no error either. Asked of the
@@ -180,11 +193,12 @@
 
     /// Wraps a client's stream, and looks at the heads of its requests.
     pub fn of_client(stream: TcpStream, ticket: Ticket) -> (Wire, View) {
-        Wire::with(stream, ticket, Meter { head: Some(RefCell::default()), ..Meter::default() })
+        Wire::with(stream, ticket, Meter { requests: Some(RefCell::default()), ..Meter::default() })
     }
 
     fn with(stream: TcpStream, ticket: Ticket, meter: Meter) -> (Wire, View) {
         let _ = stream.set_nodelay(true);
+        let _ = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER);
         let (stream, meter) = (Rc::new(stream), Rc::new(meter));
         let view = View { stream: Rc::downgrade(&stream), meter: Rc::clone(&meter) };
         (Wire { stream, meter, _ticket: ticket }, view)
--- a/agent/tests/loopback/main.rs
+++ b/agent/tests/loopback/main.rs
@@ -1,5 +1,6 @@
 //! The agent's own program between scripted peers on loopback.
 
+mod bulk;
 mod clients;
 mod common;
 mod handover;
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -190,6 +190,7 @@
                     cost_hint: hint.map(Span::from_ms),
                     repeat: opts & 2 != 0,
                     time_left: Span::from_ms(expires_in_ms),
+                    arriving: false,
                 }))
             }
             Incoming::FirstByte { ticket, attempt } => self
@@ -207,6 +208,7 @@
                         elapsed: Span::from_ms(time_taken_ms),
                         report: gauge,
                         closed: finished,
+                        spent: false,
                     }
                 })
             }
--- a/src/api.rs
+++ b/src/api.rs
@@ -494,14 +494,25 @@
     pub cost_hint: Option<Span>,
     /// The client says that this is a repeat.
     pub repeat: bool,
-    /// How long the client still waits for this try.
+    /// How long the client still waits for this try; from [`Event::Arrived`] on if it is `arriving`.
     pub time_left: Span,
+    /// Its last part is still to come: it can be sent on meanwhile, but no server starts on it yet.
+    pub arriving: bool,
 }
 
 impl Request {
     /// A first try without tenant, key or hint.
     pub fn new(id: RequestId, class: ClassId, time_left: Span) -> Self {
-        Request { id, class, tenant: None, key: None, cost_hint: None, repeat: false, time_left }
+        Request {
+            id,
+            class,
+            tenant: None,
+            key: None,
+            cost_hint: None,
+            repeat: false,
+            time_left,
+            arriving: false,
+        }
     }
 }
 
@@ -548,6 +559,13 @@
         /// The attempt that it is bound to.
         attempt: AttemptNo,
     },
+    /// The last part of a request has come: its client's time runs from here.
+    Arrived {
+        /// The request.
+        request: RequestId,
+        /// How long the client waits for the answer.
+        time_left: Span,
+    },
     /// An attempt is over.
     Outcome {
         /// The request.
@@ -556,12 +574,14 @@
         attempt: AttemptNo,
         /// How it ended.
         outcome: Outcome,
-        /// The time since it was sent.
+        /// The time since it was sent, or since the request's last part came if that was later.
         elapsed: Span,
         /// The server's report, if one came.
         report: Option<Vec<f64>>,
         /// The request has its final answer; without this one is still owed.
         closed: bool,
+        /// Part of the request went with this attempt and is not held any more: it can't be sent again.
+        spent: bool,
     },
     /// The client has gone; nothing is owed any more.
     ClientGone {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -159,6 +159,8 @@
     wanted_by: Time,
     attempts: Vec<Attempt>,
     bound: bool,
+    /// Part of it is not held any more.
+    spent: bool,
     /// The attempts that the settings allowed when it came.
     max_attempts: usize,
     /// Its tenant had its share already; worth little if that is so.
@@ -167,6 +169,14 @@
     picks: u32,
 }
 
+impl Live {
+    /// Its client's time begins now.
+    fn start_over(&mut self, now: Time, time_left: Span, aim: Span) {
+        self.deadline = now + time_left;
+        self.wanted_by = (now + aim).min(self.deadline);
+    }
+}
+
 /// A request whose candidates are being probed, and how long it waits for them.
 struct Look {
     request: RequestId,
@@ -180,6 +190,8 @@
     class: ClassId,
     sent: Time,
     trial: bool,
+    /// Its request is still arriving there: the server has no work with it yet.
+    arriving: bool,
 }
 
 struct Suspicion {
@@ -317,7 +329,11 @@
                     live.bound = (attempt.0 as usize) < live.attempts.len();
                 }
             }
-            Event::Outcome { request, attempt, outcome, elapsed, report, closed } => {
+            Event::Arrived { request, time_left } => self.arrived(now, request, time_left),
+            Event::Outcome { request, attempt, outcome, elapsed, report, closed, spent } => {
+                if let Some(live) = self.live.get_mut(&request) {
+                    live.spent |= spent;
+                }
                 self.outcome(now, (request, attempt.0), outcome, elapsed, report.as_deref(), closed, out);
             }
             Event::ClientGone { request } => {
@@ -403,8 +419,9 @@
         self.count(now, &request);
         let over_share = self.over_share(&request);
         let (attempts, max_attempts) = (Vec::new(), self.settings.max_attempts as usize);
-        let (bound, picks) = (false, 0);
-        let live = Live { request, deadline, wanted_by, attempts, bound, max_attempts, over_share, picks };
+        let (bound, spent, picks) = (false, false, 0);
+        let live =
+            Live { request, deadline, wanted_by, attempts, bound, spent, max_attempts, over_share, picks };
         let hopeless = self.hopeless(now, &live);
         self.live.insert(id, live);
         self.retries = (self.retries + RETRY_EARN).min(RETRY_BURST);
@@ -415,6 +432,19 @@
         }
     }
 
+    /// The last part of a request has come, perhaps long after it was sent on: only now can it be late.
+    fn arrived(&mut self, now: Time, id: RequestId, time_left: Span) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        live.request.arriving = false;
+        live.start_over(now, time_left, self.classes[&live.request.class].class.aim);
+        for (_, flight) in self.flights.range_mut((id, 0)..=(id, u32::MAX)) {
+            flight.sent = now;
+            if std::mem::take(&mut flight.arriving) {
+                self.servers[flight.server].in_flight += 1;
+            }
+        }
+    }
+
     /// Keeps the traffic of the last seconds by tenant.
     fn count(&mut self, now: Time, request: &Request) {
         let keep = (-now.since(self.counted_at).ms() / COUNT_MS).exp();
@@ -460,7 +490,8 @@
         let out = live.attempts.iter().any(|a| a.fate == Fate::Out);
         let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
         let full = live.attempts.len() >= live.max_attempts;
-        let shut = full || live.bound || now >= live.deadline || (out && !self.settings.second_copies);
+        let shut =
+            full || live.bound || live.spent || now >= live.deadline || (out && !self.settings.second_copies);
         let send = match (first, class.effect) {
             _ if shut => Reach::Nowhere,
             (None, _) | (_, Effect::Idempotent) => Reach::Anywhere,
@@ -692,6 +723,10 @@
     fn send(&mut self, now: Time, id: RequestId, class: ClassId, server: usize, out: &mut Vec<Action>) {
         let in_time = self.is_light() && self.classes[&class].class.late_worth == 0.0;
         let Some(live) = self.live.get_mut(&id) else { return };
+        if live.request.arriving {
+            // No time runs for it until its last part has come; the caller sees to it that it goes on coming.
+            (live.deadline, live.wanted_by) = (Time(u64::MAX), Time(u64::MAX));
+        }
         // Where a late answer is worth nothing, what waits past its aim only holds up the server's queue. Few
         // balancers keep the deadline: their counts would lose sight of work that goes on.
         let timeout_at = if in_time { live.wanted_by.max(now) } else { live.deadline };
@@ -699,7 +734,8 @@
         let attempt = live.attempts.len() as u32;
         let (zone, cell) = (s.listed.zone, s.listed.cell);
         live.attempts.push(Attempt { server, zone, cell, sent: now, fate: Fate::Out });
-        s.in_flight += 1;
+        let arriving = live.request.arriving;
+        s.in_flight += u32::from(!arriving);
         s.sent_since += 1;
         let trial = match &mut s.suspicion {
             Some(q) => {
@@ -708,7 +744,7 @@
             }
             None => false,
         };
-        self.flights.insert((id, attempt), Flight { server, class, sent: now, trial });
+        self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, arriving });
         out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
     }
 
@@ -757,7 +793,7 @@
         out: &mut Vec<Action>,
     ) {
         let Some(flight) = self.flights.remove(&key) else { return };
-        self.servers[flight.server].in_flight -= 1;
+        self.servers[flight.server].in_flight -= u32::from(!flight.arriving);
         if let Some(report) = report {
             self.read_report(now, flight.server, report);
         }
@@ -768,6 +804,11 @@
         } else if let Some(live) = self.live.get_mut(&id) {
             let fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
             live.attempts[key.1 as usize].fate = fate;
+            if live.request.arriving {
+                // It waits for a place again, and not longer than if it were whole.
+                let (time_left, aim) = (live.request.time_left, self.classes[&flight.class].class.aim);
+                live.start_over(now, time_left, aim);
+            }
             // One that never came up has been waited for, as has a full server.
             let at_once = elapsed < self.classes[&flight.class].class.aim * AT_ONCE;
             let broken = matches!(outcome, Outcome::ConnectionReset | Outcome::ServerError)
@@ -995,7 +1036,7 @@
         let grace = self.settings.drain_grace;
         let over = |s: &Server| {
             let left = s.gone_at.is_some_and(|at| now.since(at) > grace);
-            left && s.in_flight == 0 && s.probed_at.is_none()
+            left && s.probed_at.is_none()
         };
         let mut dropped: Vec<usize> =
             self.index.values().copied().filter(|&i| over(&self.servers[i])).collect();
@@ -1003,8 +1044,9 @@
             return;
         }
         let tried = |i: usize| self.live.values().any(|live| live.attempts.iter().any(|a| a.server == i));
+        let flown = |i: usize| self.flights.values().any(|flight| flight.server == i);
         let looked = |i: usize| self.looking.iter().any(|look| look.candidates.contains(&i));
-        dropped.retain(|&i| !tried(i) && !looked(i));
+        dropped.retain(|&i| !flown(i) && !tried(i) && !looked(i));
         self.index.retain(|_, i| !dropped.contains(i));
         self.warm.retain(|_, i| !dropped.contains(i));
         self.free.extend(dropped);
@@ -1039,7 +1081,7 @@
             let work = self.live.get(&key.0).map_or(0.0, |live| self.work(live));
             let pace = self.classes[&flight.class].pace.max(work / aim.ms());
             let wait = aim * (OVERDUE * pace).max(least);
-            let quiet = server.last_answer < flight.sent;
+            let quiet = server.last_answer < flight.sent && !flight.arriving;
             (quiet && now.since(flight.sent) > wait).then_some((key, flight.server))
         };
         let silent: Vec<_> = self.flights.iter().filter_map(overdue).collect();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -376,6 +376,7 @@
             elapsed: Span::from_ms(ms),
             report,
             closed: outcome == Outcome::Success,
+            spent: false,
         })
     }
 
--- a/tests/observer_sees_breaches.rs
+++ b/tests/observer_sees_breaches.rs
@@ -29,6 +29,7 @@
         elapsed: Span::from_ms(1.0),
         report: None,
         closed: false,
+        spent: false,
     }
 }
 
--- a/tests/random_walk.rs
+++ b/tests/random_walk.rs
@@ -80,6 +80,7 @@
                     elapsed: rig.now.since(o.sent),
                     report,
                     closed,
+                    spent: false,
                 }));
             }
             80..=83 if !out.is_empty() => {
