Wait out pauses where answers go on, and pass on slow chunked answers

A chunked answer that is past 4 KiB and still coming after 50 ms is passed on instead of held up to 64 KiB.

--- a/agent/src/backend.rs
+++ b/agent/src/backend.rs
@@ -3,6 +3,7 @@
 use crate::budget::{Budget, Portion};
 use crate::download::{Download, Origin};
 use crate::metrics::ClassCounters;
+use crate::patience::{Patience, SHORT};
 use crate::pool::{Lease, Place, Pool};
 use crate::upload::{Coming, Outgoing, Payload, BODY_MOST, HELD_MOST};
 use crate::wire::View;
@@ -28,9 +29,9 @@
 const STUCK_MOST: Duration = Duration::from_secs(3);
 /// How often that is looked at.
 const STUCK_LOOK: Duration = Duration::from_millis(250);
-/// An answer that has begun and of which nothing more has come for this long is spoilt: answers are short and
-/// written whole, and whoever waits on would wait to the end of the attempt's time.
-const STALL: Duration = Duration::from_millis(100);
+/// Of an answer that does not say how long it is, so much is held, or what comes within so long.
+const BEGUN_MOST: usize = 4 * 1024;
+const BEGUN_WAIT: Duration = Duration::from_millis(50);
 /// A probe that has not been answered by then has failed.
 const PROBE_WAIT: Duration = Duration::from_millis(250);
 /// A figure of a load report beyond this is no figure.
@@ -125,13 +126,15 @@
     bodies: Rc<Budget>,
     fields: RefCell<Vec<String>>,
     has_reports: Cell<bool>,
+    patience: Patience,
 }
 
 impl Backends {
     /// `fields` are the names in a load report, empty where there are none.
     pub fn new(pool: Rc<Pool>, bodies: Rc<Budget>, fields: Vec<String>, has_reports: bool) -> Rc<Self> {
         let (fields, has_reports) = (RefCell::new(fields), Cell::new(has_reports));
-        Rc::new(Backends { pool, bodies, fields, has_reports })
+        let patience = Patience::default();
+        Rc::new(Backends { pool, bodies, fields, has_reports, patience })
     }
 
     /// Takes over new settings; what is under way goes on as it began.
@@ -232,7 +235,7 @@
         tokio::select! {
             biased;
             answer = whole => answer,
-            () = stalled(&view, received, &informed) => Err(Spoilt::Answer),
+            () = stalled(&view, received, &informed, &self.patience) => Err(Spoilt::Answer),
         }
     }
 
@@ -245,8 +248,13 @@
         let portion = self.bodies.take(held_most).ok_or(Spoilt::Answer)?;
         let is_long = length.is_some_and(|length| length > HELD_MOST as u64);
         let (mut begun, mut held) = (VecDeque::new(), 0);
-        let mut ended = false;
+        let (mut ended, mut since) = (false, None);
         while held <= HELD_MOST && !(is_long && held > 0) {
+            // One that goes on coming slowly may be long too; one that has stopped is not passed on.
+            let since = *since.get_or_insert_with(Instant::now);
+            if length.is_none() && held > BEGUN_MOST && since.elapsed() > BEGUN_WAIT {
+                break;
+            }
             match body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
@@ -371,16 +379,25 @@
     }
 }
 
-/// Comes back when an answer has begun, has not been read whole, and nothing more of it has come for a while.
-async fn stalled(view: &View, received: u64, informed: &AtomicBool) {
+/// Comes back when an answer has begun, has not been read whole, and nothing more of it has come for a while: it is
+/// spoilt, and whoever waits on would wait to the end of the attempt's time.
+async fn stalled(view: &View, received: u64, informed: &AtomicBool, patience: &Patience) {
     loop {
         view.arrived().await;
         if view.received() == received {
             continue;
         }
-        while timeout(STALL, view.arrived()).await.is_ok() {}
-        if !informed.swap(false, Ordering::Relaxed) {
-            return;
+        loop {
+            while timeout(SHORT, view.arrived()).await.is_ok() {}
+            if informed.swap(false, Ordering::Relaxed) {
+                break;
+            }
+            let Some(more) = patience.more() else { return };
+            let went_on = timeout(more, view.arrived()).await.is_ok();
+            patience.note(went_on);
+            if !went_on {
+                return;
+            }
         }
     }
 }
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -12,6 +12,7 @@
 mod log;
 mod metrics;
 mod ops;
+mod patience;
 mod pool;
 mod reload;
 mod rest;
