Tell clients when to come back only where the settings allow it, bodies included

The refusal for want of memory for a body named 100 ms whatever the settings said. The meeting place of a handover is open before the process says that it listens: a test that started the second process at once showed that it could be missed.

--- a/agent/src/handover.rs
+++ b/agent/src/handover.rs
@@ -158,15 +158,17 @@
     Ok(())
 }
 
+/// Opens the meeting place; a process that has none serves without, and says so.
+pub fn meet(place: &Path) -> Option<UnixListener> {
+    let meeting = open(place);
+    if let Err(e) = &meeting {
+        log(&format!("no handover: cannot wait at {}: {e}", place.display()));
+    }
+    meeting.ok()
+}
+
 /// Waits at the meeting place for successors, and passes each the listening socket, until dropped.
-pub async fn offer(place: PathBuf, listener: Rc<TcpListener>, sharers: Rc<Sharers>) {
-    let meeting = match open(&place) {
-        Ok(meeting) => meeting,
-        Err(e) => {
-            log(&format!("no handover: cannot wait at {}: {e}", place.display()));
-            return;
-        }
-    };
+pub async fn offer(meeting: UnixListener, listener: Rc<TcpListener>, sharers: Rc<Sharers>) {
     loop {
         let Ok((stream, _)) = meeting.accept().await else {
             sleep(ACCEPT_PAUSE).await;
--- a/agent/src/intake.rs
+++ b/agent/src/intake.rs
@@ -10,7 +10,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
-use ryelead::{ClassId, Effect, KeyId, Span, TenantId};
+use ryelead::{ClassId, Effect, KeyId, Settings, Span, TenantId};
+use ryelead_settings::SettingsFile;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 use std::rc::Rc;
@@ -24,6 +25,9 @@
 /// The longest name of a request.
 const CALL_ID_MOST: usize = 128;
 
+/// When to come back if there was no memory for a body: others are done with theirs by then.
+const BODY_RETRY: Span = Span(100_000);
+
 const CALL_ID: HeaderName = HeaderName::from_static("x-call-id");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
@@ -47,7 +51,6 @@
 }
 
 /// What requests are checked against.
-#[derive(Clone)]
 pub struct Catalogue {
     /// The classes.
     pub classes: Vec<Rc<Class>>,
@@ -55,6 +58,8 @@
     pub tenants: Vec<String>,
     /// The memory for bodies.
     pub bodies: Rc<Budget>,
+    /// When to come back if there was none, where the settings let clients be told.
+    pub retry_after: Option<Span>,
 }
 
 /// A request that can be passed on.
@@ -93,6 +98,17 @@
 }
 
 impl Catalogue {
+    /// What these settings say, with the numbers that their classes have been given.
+    pub fn new(
+        classes: Vec<Rc<Class>>,
+        file: &SettingsFile,
+        settings: &Settings,
+        bodies: Rc<Budget>,
+    ) -> Self {
+        let retry_after = settings.retry_after.then(|| BODY_RETRY.min(settings.max_retry_after));
+        Catalogue { classes, tenants: file.tenant_names(), bodies, retry_after }
+    }
+
     /// How long a request may take at most.
     pub fn longest_deadline(&self) -> Duration {
         self.classes.iter().map(|class| class.deadline()).max().unwrap_or_default()
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -107,6 +107,7 @@
         file.report_names().to_vec(),
         settings.report_source != ReportSource::None,
     );
+    let catalogue = Catalogue::new(present, file, &settings, Rc::clone(&bodies));
     let commands = Commands::new(config.discovery);
     let names = (file.zone_names(), file.kind_names());
     // The list in the file may be old. Where a process has served up to now, that one knows better: this one serves
@@ -119,7 +120,6 @@
     spawn_local(driver.clone().run());
     spawn_local(discovery::run(driver.clone(), Rc::clone(&commands), version, pushed));
 
-    let catalogue = Catalogue { classes: present, tenants: file.tenant_names(), bodies: Rc::clone(&bodies) };
     let server = Server::new(driver.clone(), catalogue, Rc::clone(&metrics), budget.clients);
     spawn_local(Rc::clone(&server).sweep());
     if let Some(ops) = config.ops {
@@ -136,7 +136,7 @@
     let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     let allot = {
-        let (limits, server) = (config.limits(), Rc::clone(&server));
+        let (limits, server, bodies) = (config.limits(), Rc::clone(&server), Rc::clone(&bodies));
         move |sharers| {
             let budget = limits.of(sharers);
             server.limit(budget.clients);
@@ -152,18 +152,21 @@
         driver: driver.clone(),
         server: Rc::clone(&server),
         backends,
+        bodies,
         commands,
     };
     spawn_local(reload.run(hangup));
     if predecessor.is_some() {
         let _ = timeout(LIST_WAIT, driver.heard()).await;
     }
+    // From here on a successor finds the way to this process.
+    let meeting = place.and_then(|place| handover::meet(&place));
+    let offer = meeting
+        .map(|meeting| spawn_local(handover::offer(meeting, Rc::clone(&listener), Rc::clone(&sharers))));
     log(&format!("listening on {address}"));
     if let Some(predecessor) = predecessor {
         spawn_local(predecessor.relieve());
     }
-    let offer =
-        place.map(|place| spawn_local(handover::offer(place, Rc::clone(&listener), Rc::clone(&sharers))));
     tokio::select! {
         () = server.accept(&listener) => {}
         _ = term.recv() => {}
--- a/agent/src/reload.rs
+++ b/agent/src/reload.rs
@@ -1,6 +1,7 @@
 //! New configurations: what the file says now, taken whole or not at all, and the numbers of the classes in it.
 
 use crate::backend::Backends;
+use crate::budget::Budget;
 use crate::config::{Config, Revised};
 use crate::discovery::Commands;
 use crate::driver::Driver;
@@ -57,6 +58,8 @@
     pub server: Rc<Server>,
     /// The record servers' side.
     pub backends: Rc<Backends>,
+    /// The memory for bodies.
+    pub bodies: Rc<Budget>,
     /// Discovery's side.
     pub commands: Rc<Commands>,
 }
@@ -85,7 +88,7 @@
         let classes = self.classes.revise(file, &settings);
         let ids = classes.iter().map(|class| class.id).collect();
         self.backends.revise(file, &settings);
-        self.server.revise(Catalogue { classes, tenants: file.tenant_names(), ..self.server.catalogue() });
+        self.server.revise(Catalogue::new(classes, file, &settings, Rc::clone(&self.bodies)));
         self.driver.revise(settings, ids, file.zone_names());
         let moved = self.commands.move_to(revised.discovery);
         let place = if moved { " and another discovery" } else { "" };
--- a/agent/src/server.rs
+++ b/agent/src/server.rs
@@ -38,8 +38,6 @@
 /// The largest head of a request, and its lines: hyper's own bounds would let a few hundred half heads fill the memory.
 const HEAD_MOST: usize = 16 * 1024;
 const HEADERS_MOST: usize = 64;
-/// When to come back if there was no memory for a body: others are done with theirs by then.
-const BODY_RETRY: Span = Span(100_000);
 
 /// How many connections clients may hold.
 #[derive(Clone, Copy)]
@@ -84,11 +82,6 @@
         self.longest.get()
     }
 
-    /// What requests are checked against at present.
-    pub fn catalogue(&self) -> Catalogue {
-        Catalogue::clone(&self.catalogue.borrow())
-    }
-
     /// Requests whose head comes from now on are checked against this.
     pub fn revise(&self, catalogue: Catalogue) {
         // A request that came before may still be under way: the longest of all stands.
@@ -221,7 +214,7 @@
         let catalogue = Rc::clone(&self.catalogue.borrow());
         let checked = match catalogue.check(seat, request) {
             Ok(checked) => checked,
-            Err((status, why)) => return turned_away(status, why),
+            Err(fault) => return turned_away(fault, catalogue.retry_after),
         };
         let counters = Rc::clone(&checked.class.counters);
         let answer = match catalogue.read(seat, checked).await {
@@ -240,7 +233,7 @@
             }
             Err(fault) => Err(fault),
         };
-        let mut answer = answer.unwrap_or_else(|(status, why)| turned_away(status, why));
+        let mut answer = answer.unwrap_or_else(|fault| turned_away(fault, catalogue.retry_after));
         match answer.body_mut() {
             // It is served once the client has all of it.
             Reply::Passing(passing) => passing.counters = Some(counters),
@@ -417,9 +410,9 @@
 }
 
 /// An answer to what can't be used; whatever else may come on its connection is not waited for.
-fn turned_away(status: StatusCode, why: &'static str) -> Response<Reply> {
+fn turned_away((status, why): Fault, retry_after: Option<Span>) -> Response<Reply> {
     let mut answer = match status {
-        StatusCode::SERVICE_UNAVAILABLE => refused(Some(BODY_RETRY)),
+        StatusCode::SERVICE_UNAVAILABLE => refused(retry_after),
         status => plain(status, why),
     };
     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/agent/tests/loopback/clients.rs
+++ b/agent/tests/loopback/clients.rs
@@ -141,4 +141,9 @@
     assert_eq!(answer.status(), 503);
     let after: f64 = answer.header("Retry-After").expect("advice").parse().unwrap();
     assert!(after > 0.0 && after <= 1.0, "{after}");
+    // Where the settings say that clients are not told, they are not.
+    let silent = SETTINGS.replace("\"retryAfter\":true", "\"retryAfter\":false");
+    let agent = Agent::start(&config(discovery.address, &dead, &silent, 1024));
+    let answer = Client::to(&agent).ask(&request("read", 800));
+    assert_eq!((answer.status(), answer.header("Retry-After")), (503, None));
 }
