--- a/agent/tests/loopback/handover.rs
+++ b/agent/tests/loopback/handover.rs
@@ -136,3 +136,21 @@
     }
     end(&folder);
 }
+
+/// Without a private folder there is no way to pass the socket: the new process listens beside the old one.
+#[test]
+fn without_a_folder_both_listen_at_the_address() {
+    let backend = Backend::new(|_| ok("x"));
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    let text = config(discovery.address, &line, SETTINGS, 1024);
+    let mut old = Agent::start(&text);
+    let same = text.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{}\"", old.address));
+    let new = Agent::start(&same);
+    assert_eq!(new.address, old.address);
+    old.terminate();
+    assert_eq!(old.ended(), Some(0));
+    for _ in 0..10 {
+        assert_eq!(Client::to(&new).ask(&request("read", 9000)).status(), 200);
+    }
+}
