--- a/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -8,12 +8,12 @@
 use crate::upload::{Coming, Outgoing, Payload, BODY_MOST, HELD_MOST};
 use crate::wire::View;
 use bytes::{Bytes, BytesMut};
+use heronhoist_decision::{Outcome, ReportSource, Settings, Span};
+use heronhoist_settings::SettingsFile;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use ryelead::{Outcome, ReportSource, Settings, Span};
-use ryelead_settings::SettingsFile;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -419,7 +419,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use ryelead::ServerId;
+    use heronhoist_decision::ServerId;
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpListener;
     use tokio::task::LocalSet;
--- a/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::discovery::ListReply;
 use crate::server;
-use ryelead_settings::SettingsFile;
+use heronhoist_settings::SettingsFile;
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::hash_map::DefaultHasher;
--- a/agent/src/intake.rs
+++ b/crates/agent/src/intake.rs
@@ -6,12 +6,12 @@
 use crate::metrics::ClassCounters;
 use crate::seats::Seat;
 use crate::upload::{Broken, Payload, Source, Upload, BODY_MOST, HELD_MOST};
+use heronhoist_decision::{ClassId, Effect, KeyId, Settings, Span, TenantId};
+use heronhoist_settings::SettingsFile;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
-use ryelead::{ClassId, Effect, KeyId, Settings, Span, TenantId};
-use ryelead_settings::SettingsFile;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 use std::rc::Rc;
@@ -40,7 +40,7 @@
     /// Its name.
     pub name: String,
     /// What the module is told of it.
-    pub terms: ryelead::Class,
+    pub terms: heronhoist_decision::Class,
 }
 
 impl Class {
--- a/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -39,9 +39,9 @@
     let Some(dropped) = ALLOWANCE.with_borrow_mut(|a| a.take(Instant::now())) else { return };
     let mut out = std::io::stderr().lock();
     if dropped > 0 {
-        let _ = writeln!(out, "dilljunction: {dropped} lines left out");
+        let _ = writeln!(out, "heronhoist: {dropped} lines left out");
     }
-    let _ = writeln!(out, "dilljunction: {text}");
+    let _ = writeln!(out, "heronhoist: {text}");
 }
 
 #[cfg(test)]
--- a/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,4 +1,4 @@
-//! The real agent: the decisions of `ryelead` on real sockets. Started with `LB_CONFIG` in the environment.
+//! The real agent: the decisions of `heronhoist-decision` on real sockets. Started with `LB_CONFIG` in the environment.
 
 mod backend;
 mod budget;
@@ -27,12 +27,12 @@
 use discovery::Commands;
 use driver::Driver;
 use handover::Sharers;
+use heronhoist_decision::{Discovery, ReportSource};
 use intake::Catalogue;
 use log::log;
 use metrics::Metrics;
 use pool::Pool;
 use reload::{Classes, Reload};
-use ryelead::{Discovery, ReportSource};
 use server::Server;
 use std::net::SocketAddr;
 use std::process::ExitCode;
--- a/agent/src/pool.rs
+++ b/crates/agent/src/pool.rs
@@ -3,8 +3,8 @@
 use crate::rest::Rest;
 use crate::upload::Outgoing;
 use crate::wire::{Gauge, View, Wire};
+use heronhoist_decision::{Outcome, ServerId};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use ryelead::{Outcome, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/agent/src/reload.rs
+++ b/crates/agent/src/reload.rs
@@ -9,8 +9,8 @@
 use crate::log::log;
 use crate::metrics::Metrics;
 use crate::server::Server;
-use ryelead::{ClassId, Settings};
-use ryelead_settings::SettingsFile;
+use heronhoist_decision::{ClassId, Settings};
+use heronhoist_settings::SettingsFile;
 use std::rc::Rc;
 use tokio::signal::unix::Signal;
 
--- a/agent/tests/loopback/common.rs
+++ b/crates/agent/tests/loopback/common.rs
@@ -300,7 +300,7 @@
 }
 
 pub fn command(config: &Path) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_dilljunction"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heronhoist"));
     command
         .env("LB_CONFIG", config)
         .env_remove("LB_LISTEN")
@@ -333,7 +333,7 @@
     /// An agent whose process may hold fewer descriptors than its configuration says.
     pub fn start_limited(config: &str, descriptors: usize) -> Agent {
         let mut shell = Command::new("sh");
-        let script = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_dilljunction"));
+        let script = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_heronhoist"));
         let config = config_file(config);
         shell.args(["-c", &script]).env("LB_CONFIG", &config).stderr(Stdio::piped());
         Agent::watch(
--- a/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -5,7 +5,7 @@
 //! it compares the lightest server it remembers with fresh uniform draws, by its own requests in flight.
 //!
 //! ```
-//! use ryelead::*;
+//! use heronhoist_decision::*;
 //!
 //! let class = Class { aim: Span::from_ms(100.0), deadline: Span::from_ms(400.0), ..Class::default() };
 //! let settings = Settings { classes: vec![class], ..Settings::default() };
@@ -30,5 +30,5 @@
 
 /// Compiles and runs the example of the README with the tests.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../../README.md")]
 struct Readme;
--- a/tests/arriving.rs
+++ b/crates/decision/tests/arriving.rs
@@ -2,7 +2,7 @@
 //! held any more is not sent again.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 fn rig(effect: Effect) -> Rig {
     let mut rig = Rig::new(Settings { classes: vec![class(effect)], ..Settings::default() }, 5);
--- a/tests/bad_input.rs
+++ b/crates/decision/tests/bad_input.rs
@@ -1,7 +1,7 @@
 //! Guards against decisions that absurd reports or a jumping clock would turn.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 fn settings() -> Settings {
     Settings {
--- a/tests/cold_server_not_pushed_over.rs
+++ b/crates/decision/tests/cold_server_not_pushed_over.rs
@@ -1,7 +1,7 @@
 //! Guards rule four: a server that has just started is sent its share only.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 fn settings() -> Settings {
     Settings {
--- a/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the tests share: an observer that holds a balancer to the four rules, and a small rig around one.
 #![allow(dead_code, missing_docs)]
 
-use ryelead::*;
+use heronhoist_decision::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Time past the client's deadline in which a final answer still counts.
--- a/tests/drains_kept.rs
+++ b/crates/decision/tests/drains_kept.rs
@@ -1,7 +1,7 @@
 //! Guards rule three: nothing new goes to a server that drains or is gone.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 fn drained(update: impl Fn(Vec<Listed>) -> ListUpdate) {
     let settings = Settings { classes: vec![class(Effect::Idempotent)], ..Settings::default() };
--- a/tests/looks.rs
+++ b/crates/decision/tests/looks.rs
@@ -1,7 +1,7 @@
 //! Guards against blind picks where balancers are many and each sees almost nothing of the servers' load.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 fn settings() -> Settings {
     Settings {
--- a/tests/memory_does_not_grow.rs
+++ b/crates/decision/tests/memory_does_not_grow.rs
@@ -1,7 +1,7 @@
 //! Guards against records that outlive their requests: memory must not grow with requests served.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 /// Resident memory of this process in KiB; `None` where the system does not tell.
 fn resident() -> Option<u64> {
--- a/tests/new_settings.rs
+++ b/crates/decision/tests/new_settings.rs
@@ -1,7 +1,7 @@
 //! Guards new settings: they hold for what comes after them, and nothing under way changes its class.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 const READ: ClassId = ClassId(0);
 const LATER: ClassId = ClassId(1);
--- a/tests/no_doubled_effect.rs
+++ b/crates/decision/tests/no_doubled_effect.rs
@@ -1,7 +1,7 @@
 //! Guards rule two: an effect must not happen twice, and a refusal must not be told of what may have run.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 const OUTCOMES: [Outcome; 7] = [
     Outcome::ServerError,
--- a/tests/observer_sees_breaches.rs
+++ b/crates/decision/tests/observer_sees_breaches.rs
@@ -1,7 +1,7 @@
 //! Guards the other tests: the observer must object to a broken decision of each kind.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 fn watch(effect: Effect) -> (Observer, Time) {
     let settings = Settings {
--- a/tests/one_final_answer.rs
+++ b/crates/decision/tests/one_final_answer.rs
@@ -1,7 +1,7 @@
 //! Guards rule one: every accepted request ends once, in time, and nothing is sent for it afterwards.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 fn plain() -> Settings {
     Settings { classes: vec![class(Effect::Idempotent), class(Effect::AtMostOnce)], ..Settings::default() }
--- a/tests/overload.rs
+++ b/crates/decision/tests/overload.rs
@@ -1,7 +1,7 @@
 //! Guards against collapse under overload: late answers, standing queues, retry storms, unfair refusals.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 use std::collections::BTreeMap;
 
 fn settings() -> Settings {
--- a/tests/random_walk.rs
+++ b/crates/decision/tests/random_walk.rs
@@ -1,7 +1,7 @@
 //! Guards the four rules on event orders that nobody thought of, and that equal events give equal actions.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 use std::collections::BTreeMap;
 
 fn settings(pick: u64) -> Settings {
--- a/tests/settings.rs
+++ b/crates/decision/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Guards against settings that lack what a decision could use, and against ones that no decision can use.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 #[test]
 fn impossible_settings_are_errors_and_not_panics() {
--- a/tests/suspects.rs
+++ b/crates/decision/tests/suspects.rs
@@ -1,7 +1,7 @@
 //! Guards against servers that hang, fail fast or slow down, and against taking a crowd for sick servers.
 mod common;
 use common::*;
-use ryelead::*;
+use heronhoist_decision::*;
 
 fn settings(effect: Effect) -> Settings {
     Settings { classes: vec![class(effect)], ..Settings::default() }
--- a/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,7 +2,7 @@
 
 mod words;
 
-use ryelead::*;
+use heronhoist_decision::*;
 use serde::Deserialize;
 
 /// The settings object as it was read; unknown keys are skipped.
--- a/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -1,7 +1,7 @@
 //! Hosts the balancers: names in, names out, and each event to the instance that it is for.
 
 use crate::wire::{self, Batch, Incoming, Outgoing, Reply, ReplyPart};
-use ryelead::*;
+use heronhoist_decision::*;
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
--- a/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,4 +1,4 @@
-//! Lets ryelead balancers decide on the simulator's wire: a line of events in, a line of actions out.
+//! Lets balancers decide on the simulator's wire: a line of events in, a line of actions out.
 
 mod host;
 mod wire;
@@ -38,7 +38,7 @@
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("ryelead-simhost: {fault}");
+            eprintln!("heronhoist-simhost: {fault}");
             ExitCode::from(2)
         }
     }
--- a/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's words: what its lines hold, and nothing of what to do about them.
 
-use ryelead_settings::SettingsFile;
+use heronhoist_settings::SettingsFile;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
