--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -1,20 +1,19 @@
 //! Attempts and probes: a message out, what comes back told as an outcome.
 
-use crate::budget::{Budget, Portion};
+use crate::connections::{Connections, Lease, Place};
 use crate::download::{Download, Origin};
 use crate::metrics::ClassCounters;
 use crate::patience::{Patience, SHORT};
-use crate::pool::{Lease, Place, Pool};
 use crate::upload::{Coming, Outgoing, Payload, BODY_MOST, HELD_MOST};
 use crate::wire::View;
 use bytes::{Bytes, BytesMut};
-use heronhoist_decision::{Outcome, ReportSource, Settings, Span};
-use heronhoist_settings::SettingsFile;
+use heronhoist_decision::{Outcome, ServerId};
+use heronhoist_engine::{Arriving, Gate, Part, Portion, Upstream};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +22,8 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
+use std::cell::Cell;
+
 /// The most that is read for an answer that is held whole: a body in small chunks, its head, and what may come ahead.
 const ANSWER_MOST: u64 = 4 * HELD_MOST as u64;
 /// A backend that takes nothing of a request for this long gets no more of it.
@@ -84,18 +85,11 @@
 }
 
 /// How an attempt or a probe ended.
-pub struct Ended {
-    /// In the module's terms.
-    pub outcome: Outcome,
-    /// The load report, if a readable one came.
-    pub report: Option<Vec<f64>>,
-    /// The answer, if the outcome is a success.
-    pub served: Option<Served>,
-}
+pub type Ended = heronhoist_engine::Ended<Served>;
 
-impl From<Outcome> for Ended {
-    fn from(outcome: Outcome) -> Self {
-        Ended { outcome, report: None, served: None }
+impl heronhoist_engine::Payload for Call {
+    fn arriving(&self) -> Option<&dyn Arriving> {
+        self.body.upload().map(|upload| &**upload as &dyn Arriving)
     }
 }
 
@@ -109,66 +103,91 @@
     Stuck,
 }
 
-/// Shows how far an attempt has come to whoever stops waiting for it.
-#[derive(Default)]
-pub struct Progress(Cell<bool>);
-
-impl Progress {
-    /// True once a byte of it may have been written.
-    pub fn is_sent(&self) -> bool {
-        self.0.get()
-    }
-}
+/// Record servers that speak HTTP as the platform does.
+#[derive(Clone)]
+pub struct Http(Rc<Inner>);
 
-/// Attempts and probes on the connections to all backends.
-pub struct Backends {
-    pool: Rc<Pool>,
-    bodies: Rc<Budget>,
+struct Inner {
+    connections: Rc<Connections>,
+    bodies: Rc<Part>,
     fields: RefCell<Vec<String>>,
     has_reports: Cell<bool>,
     patience: Patience,
 }
 
-impl Backends {
+impl Http {
     /// `fields` are the names in a load report, empty where there are none.
-    pub fn new(pool: Rc<Pool>, bodies: Rc<Budget>, fields: Vec<String>, has_reports: bool) -> Rc<Self> {
+    pub fn new(
+        connections: Rc<Connections>,
+        bodies: Rc<Part>,
+        fields: Vec<String>,
+        has_reports: bool,
+    ) -> Self {
         let (fields, has_reports) = (RefCell::new(fields), Cell::new(has_reports));
         let patience = Patience::default();
-        Rc::new(Backends { pool, bodies, fields, has_reports, patience })
+        Http(Rc::new(Inner { connections, bodies, fields, has_reports, patience }))
     }
 
     /// Takes over new settings; what is under way goes on as it began.
-    pub fn revise(&self, file: &SettingsFile, settings: &Settings) {
-        *self.fields.borrow_mut() = file.report_names().to_vec();
-        self.has_reports.set(settings.report_source != ReportSource::None);
-        self.pool.revise(connect_timeout(file), keepalive(file));
+    pub fn revise(&self, terms: &HttpTerms) {
+        *self.0.fields.borrow_mut() = terms.report_names.clone();
+        self.0.has_reports.set(terms.has_reports);
+        self.0.connections.revise(terms.connect_timeout, terms.keepalive);
     }
 
     /// The connections.
-    pub fn pool(&self) -> &Pool {
-        &self.pool
+    pub fn connections(&self) -> &Connections {
+        &self.0.connections
+    }
+}
+
+/// What the settings say of the servers' HTTP.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HttpTerms {
+    /// The names of a load report's fields, in the order of the settings.
+    pub report_names: Vec<String>,
+    /// Whether there are reports.
+    pub has_reports: bool,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout: Duration,
+    /// A backend closes a connection that has stood idle this long.
+    pub keepalive: Duration,
+}
+
+impl Upstream for Http {
+    type Address = SocketAddr;
+    type Call = Call;
+    type Answer = Served;
+
+    async fn attempt(&self, place: Place, call: &Call, gate: Gate<'_>) -> Ended {
+        self.0.attempt(place, call, gate.until, Some(&gate)).await
+    }
+
+    async fn probe(&self, place: Place) -> Ended {
+        self.0.probe(place).await
+    }
+
+    fn close_idle(&self, server: ServerId) {
+        self.0.connections.close_idle(server);
     }
 
-    /// Sends one attempt. `may_send` is asked once more when the first byte could go: a server may have been
-    /// told to drain while the connection was on its way.
-    pub async fn attempt(
-        &self,
-        place: Place,
-        call: &Call,
-        until: Instant,
-        progress: &Progress,
-        may_send: impl Fn() -> bool,
-    ) -> Ended {
+    fn retire(&self, is_current: &dyn Fn(ServerId, u64) -> bool) {
+        self.0.connections.retire(is_current);
+    }
+}
+
+impl Inner {
+    /// Sends one attempt, or a probe, which nothing but its time can stop.
+    async fn attempt(&self, place: Place, call: &Call, until: Instant, gate: Option<&Gate<'_>>) -> Ended {
         loop {
-            let mut lease = match self.pool.lease(place).await {
+            let mut lease = match self.connections.lease(place).await {
                 Ok(lease) => lease,
                 Err(outcome) => return outcome.into(),
             };
-            if !may_send() {
-                self.pool.give_back(place, lease);
+            if gate.is_some_and(|gate| !gate.open()) {
+                self.connections.give_back(place, lease);
                 return Outcome::NotSent.into();
             }
-            progress.0.set(true);
             let view = lease.view.clone();
             let (before, received) = (view.written(), view.received());
             view.count_nothing();
@@ -191,15 +210,15 @@
             let written = view.written() - before;
             let is_whole = call.least_bytes().is_some_and(|least| written >= least);
             let broken = call.body.upload().is_some_and(|upload| matches!(upload.state(), Coming::Broken(_)));
-            self.pool.note(&lease, answer.is_err() && view.received() == received);
+            self.connections.note(&lease, answer.is_err() && view.received() == received);
             match answer {
                 // An answer to what was not all there yet is none to this request.
                 Ok(mut ended) if is_whole => {
-                    match ended.served.as_mut().map(|served| &mut served.body) {
+                    match ended.answer.as_mut().map(|served| &mut served.body) {
                         Some(Content::Coming(download)) => {
-                            download.keep(Origin { lease, place, pool: Rc::clone(&self.pool) });
+                            download.keep(Origin { lease, place, connections: Rc::clone(&self.connections) });
                         }
-                        Some(Content::Held(..)) | None => self.pool.give_back(place, lease),
+                        Some(Content::Held(..)) | None => self.connections.give_back(place, lease),
                     }
                     return ended;
                 }
@@ -210,7 +229,11 @@
                 // A pooled connection that ended before anything was written to it says nothing of the server,
                 // and no attempt was made: take the next one. A new one that ends so does say something, and
                 // to go on would be a storm of connections.
-                Err(Spoilt::Connection) if !lease.is_fresh() && written == 0 => progress.0.set(false),
+                Err(Spoilt::Connection) if !lease.is_fresh() && written == 0 => {
+                    if let Some(gate) = gate {
+                        gate.nothing_was_sent();
+                    }
+                }
                 Err(Spoilt::Stuck) => return Outcome::TimedOut.into(),
                 Ok(_) | Err(_) if !is_whole => return Outcome::ConnectFailed.into(),
                 Ok(_) | Err(_) => return Outcome::ConnectionReset.into(),
@@ -278,7 +301,7 @@
         };
         if outcome != Outcome::Success {
             // Nobody gets its body; one that is long costs its connection.
-            return if ended { Ok(Ended { outcome, report, served: None }) } else { Err(Spoilt::Answer) };
+            return if ended { Ok(Ended { outcome, report, answer: None }) } else { Err(Spoilt::Answer) };
         }
         let content_type = head.headers.get(CONTENT_TYPE).cloned();
         let body = if ended {
@@ -287,7 +310,7 @@
             view.lift_allowance();
             Content::Coming(Box::new(Download::new(begun, body, length, portion)))
         };
-        Ok(Ended { outcome, report, served: Some(Served { body, content_type }) })
+        Ok(Ended { outcome, report, answer: Some(Served { body, content_type }) })
     }
 
     /// Asks a server how it is.
@@ -297,12 +320,10 @@
         let (method, budget) = (Method::GET, PROBE_WAIT);
         let call = Call { method, uri, headers, body, budget, counters: None, _portion: None };
         let until = Instant::now() + PROBE_WAIT;
-        let progress = Progress::default();
-        let Ok(mut ended) = timeout_at(until, self.attempt(place, &call, until, &progress, || true)).await
-        else {
+        let Ok(mut ended) = timeout_at(until, self.attempt(place, &call, until, None)).await else {
             return Outcome::TimedOut.into();
         };
-        if let Some(Served { body: Content::Held(text, _), .. }) = ended.served.take() {
+        if let Some(Served { body: Content::Held(text, _), .. }) = ended.answer.take() {
             ended.report = ended.report.or_else(|| self.report(&text));
         }
         ended
@@ -321,16 +342,6 @@
     }
 }
 
-/// A connection that is not up by then has failed.
-pub fn connect_timeout(file: &SettingsFile) -> Duration {
-    Duration::from_micros(file.connect_timeout().unwrap_or(Span::from_ms(250.0)).0)
-}
-
-/// A backend closes a connection that has stood idle this long.
-pub fn keepalive(file: &SettingsFile) -> Duration {
-    Duration::from_micros(file.keepalive().unwrap_or(Span::from_ms(10_000.0)).0)
-}
-
 fn pair(text: &str) -> Option<(&str, f64)> {
     let (name, value) = text.split_once('=')?;
     let value: f64 = value.trim().parse().ok()?;
@@ -419,19 +430,19 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use heronhoist_decision::ServerId;
+    use crate::connections::Siblings;
+    use heronhoist_engine::Quota;
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpListener;
     use tokio::task::LocalSet;
 
-    fn of(pool: Rc<Pool>, fields: &[&str]) -> Rc<Backends> {
+    fn of(most: usize, fields: &[&str]) -> Rc<Inner> {
         let fields: Vec<String> = fields.iter().map(|f| f.to_string()).collect();
         let has_reports = !fields.is_empty();
-        Backends::new(pool, Budget::new(1 << 20), fields, has_reports)
-    }
-
-    fn backends() -> Rc<Backends> {
-        of(Pool::new(4, Duration::from_secs(20), Duration::from_secs(60)), &[])
+        let (connect, keepalive) = (Duration::from_secs(20), Duration::from_secs(60));
+        let connections =
+            Connections::new(Quota::alone(most), &Rc::new(Siblings::default()), connect, keepalive);
+        Http::new(connections, Quota::alone(1 << 20), fields, has_reports).0
     }
 
     fn post(body: usize) -> Call {
@@ -447,20 +458,14 @@
         }
     }
 
-    async fn attempt(address: SocketAddr, body: usize, may_send: bool) -> Outcome {
-        attempt_of(&backends(), address, body, may_send).await
+    async fn attempt(address: SocketAddr, body: usize) -> Outcome {
+        attempt_of(&of(4, &[]), address, body).await
     }
 
-    async fn attempt_of(
-        backends: &Rc<Backends>,
-        address: SocketAddr,
-        body: usize,
-        may_send: bool,
-    ) -> Outcome {
+    async fn attempt_of(backends: &Inner, address: SocketAddr, body: usize) -> Outcome {
         let place = Place { server: ServerId(0), address, life: 0 };
         let until = Instant::now() + Duration::from_secs(60);
-        let progress = Progress::default();
-        backends.attempt(place, &post(body), until, &progress, || may_send).await.outcome
+        backends.attempt(place, &post(body), until, None).await.outcome
     }
 
     /// The cap on connections: when all are at work nothing more is opened, and the server is not blamed.
@@ -468,32 +473,19 @@
     async fn past_the_cap_nothing_is_sent() {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let second = Duration::from_secs(1);
-        let backends = of(Pool::new(1, second, second), &[]);
+        let backends = of(1, &[]);
         let both = async {
             tokio::select! {
                 biased;
-                outcome = attempt_of(&backends, address, 9, true) => panic!("silence gave {outcome:?}"),
-                outcome = attempt_of(&backends, address, 9, true) => outcome,
+                outcome = attempt_of(&backends, address, 9) => panic!("silence gave {outcome:?}"),
+                outcome = attempt_of(&backends, address, 9) => outcome,
             }
         };
         let outcome = timeout(Duration::from_secs(20), LocalSet::new().run_until(both)).await;
         assert_eq!(outcome.ok(), Some(Outcome::NotSent));
         // What the first held is free again.
         tokio::task::yield_now().await;
-        assert_eq!(backends.pool.count(), 0);
-    }
-
-    /// The drain rule counts a send from its first byte: what was decided before may come too late to go.
-    #[tokio::test]
-    async fn nothing_is_written_once_it_may_not_be_sent() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let local = LocalSet::new();
-        assert_eq!(local.run_until(attempt(address, 9, false)).await, Outcome::NotSent);
-        drop(local);
-        let (mut stream, _) = listener.accept().await.unwrap();
-        assert_eq!(stream.read(&mut [0; 1]).await.unwrap_or(0), 0);
+        assert_eq!(backends.connections.count(), 0);
     }
 
     /// More than the two sockets can hold, to a peer that closes: the last byte is provably not written.
@@ -505,7 +497,7 @@
             let (mut stream, _) = listener.accept().await.unwrap();
             let _ = stream.read(&mut [0; 1]).await;
         };
-        let both = async { tokio::join!(attempt(address, 64 << 20, true), peer).0 };
+        let both = async { tokio::join!(attempt(address, 64 << 20), peer).0 };
         assert_eq!(LocalSet::new().run_until(both).await, Outcome::ConnectFailed);
     }
 
@@ -529,7 +521,7 @@
             .run_until(async {
                 tokio::select! {
                     biased;
-                    outcome = attempt(address, 9, true) => Some(outcome),
+                    outcome = attempt(address, 9) => Some(outcome),
                     () = peer => None,
                 }
             })
@@ -553,13 +545,12 @@
             let _ = filler.connect(&address.into());
             queue.push(filler);
         }
-        assert_eq!(LocalSet::new().run_until(attempt(address, 9, true)).await, Outcome::ConnectFailed);
+        assert_eq!(LocalSet::new().run_until(attempt(address, 9)).await, Outcome::ConnectFailed);
     }
 
     #[test]
     fn a_report_is_read_by_name_and_a_malformed_one_is_none() {
-        let second = Duration::from_secs(1);
-        let backends = of(Pool::new(4, second, second), &["qps", "queue"]);
+        let backends = of(4, &["qps", "queue"]);
         assert_eq!(backends.report(b" queue=2, util=0.6,qps=7"), Some(vec![7.0, 2.0]));
         for bad in [
             "",
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -1,13 +1,20 @@
 //! What the agent is told at its start, by the environment and the file that it names.
 
+use crate::backend::HttpTerms;
 use crate::discovery::ListReply;
+use crate::lanes::Room;
+use crate::plan::{Members, Plan, PoolPlan};
 use crate::server;
+use heronhoist_decision::{ReportSource, Span};
+use heronhoist_engine::{List, ServerNames};
+use heronhoist_routes::Table;
 use heronhoist_settings::SettingsFile;
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Descriptors kept back for the listener, discovery, the runtime and accepted connections on their way out.
 const RESERVE: usize = 48;
@@ -63,8 +70,7 @@
         let (rest_most, keep_most) = (sockets / 6, sockets / 4);
         Allotment {
             clients: server::Limits { open_most: clients.min(usable / 2), rest_most, keep_most },
-            backend_connections: usable - usable / 2,
-            body_bytes: (memory * BODIES_SHARE) as usize,
+            room: Room { connections: usable - usable / 2, body_bytes: (memory * BODIES_SHARE) as usize },
         }
     }
 }
@@ -73,8 +79,6 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery listens.
-    pub discovery: SocketAddr,
     /// Where operators call, if anywhere.
     pub ops: Option<SocketAddr>,
     /// For random numbers; new with each start.
@@ -82,9 +86,9 @@
     /// What its processes may hold together.
     limits: Limits,
     /// The list as this agent last had it.
-    pub known: Option<ListReply>,
-    /// The settings object.
-    pub settings: SettingsFile,
+    pub known: Option<List<SocketAddr>>,
+    /// What it serves.
+    pub plan: Plan,
     /// The file as it was read.
     shape: Value,
 }
@@ -93,21 +97,41 @@
 pub struct Allotment {
     /// Connections of clients.
     pub clients: server::Limits,
-    /// Most connections to backends that are held at once.
-    pub backend_connections: usize,
-    /// Most bytes that bodies of requests and answers hold at once.
-    pub body_bytes: usize,
+    /// What the pools may hold.
+    pub room: Room,
 }
 
 /// What a file that was read again changes.
 pub struct Revised {
-    /// Where discovery listens.
-    pub discovery: SocketAddr,
-    /// The settings object.
-    pub settings: SettingsFile,
+    /// What is served from now on.
+    pub plan: Plan,
     shape: Value,
 }
 
+/// The platform's one pool.
+const MAIN: &str = "main";
+
+/// The platform's settings as a plan.
+pub fn plan(file: &SettingsFile, discovery: SocketAddr) -> Plan {
+    let settings = file.settings();
+    let duration =
+        |span: Option<Span>, other_ms| Duration::from_micros(span.unwrap_or(Span::from_ms(other_ms)).0);
+    let pool = PoolPlan {
+        name: MAIN.into(),
+        names: ServerNames { zones: file.zone_names().to_vec(), kinds: file.kind_names().to_vec() },
+        http: HttpTerms {
+            report_names: file.report_names().to_vec(),
+            has_reports: settings.report_source != ReportSource::None,
+            connect_timeout: duration(file.connect_timeout(), 250.0),
+            keepalive: duration(file.keepalive(), 10_000.0),
+        },
+        settings,
+        members: Members::Discovery(discovery),
+    };
+    let routes = Table::new(Vec::new(), Some(0)).unwrap_or_default();
+    Plan { classes: file.class_names(), tenants: file.tenant_names(), pools: vec![pool], routes }
+}
+
 /// Keys that a file may do without though the one before it had them: the list and the seed serve a start only, and the
 /// settings' own page lets the others be absent.
 const SPARED: [&str; 5] = ["known", "seed", "aimStretch", "passesDeadline", "warmKeys"];
@@ -176,14 +200,13 @@
         if let Some(key) = missing(&self.shape, &shape, "") {
             return Err(format!("{key} is missing"));
         }
-        let Config { discovery, settings, .. } = Config::parse(text, Places::default())?;
-        Ok(Revised { discovery, settings, shape })
+        let plan = Config::parse(text, Places::default())?.plan;
+        Ok(Revised { plan, shape })
     }
 
     /// What has been taken is in force from now on.
     pub fn revise(&mut self, revised: Revised) {
-        let Revised { discovery, settings, shape } = revised;
-        (self.discovery, self.settings, self.shape) = (discovery, settings, shape);
+        (self.plan, self.shape) = (revised.plan, revised.shape);
     }
 
     fn parse(text: &[u8], places: Places) -> Result<Config, String> {
@@ -208,12 +231,11 @@
         }
         Ok(Config {
             listen: address("listen", places.listen.or(file.listen))?,
-            discovery: address("discovery", places.discovery.or(file.discovery))?,
             ops: places.ops.or(file.ops).map(|text| address("ops", Some(text))).transpose()?,
             seed: file.seed.map_or(0, |seed| seed_number(&seed)),
             limits: Limits { sockets: Some(sockets), ..file.limits },
-            known: file.known,
-            settings: file.settings,
+            known: file.known.map(List::from),
+            plan: plan(&file.settings, address("discovery", places.discovery.or(file.discovery))?),
             shape,
         })
     }
@@ -249,15 +271,15 @@
         assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
         for sharers in 1..=3 {
             let budget = config.limits().of(sharers);
-            let held = budget.clients.open_most + budget.backend_connections + RESERVE;
+            let held = budget.clients.open_most + budget.room.connections + RESERVE;
             assert!(held * sharers <= 1024, "{sharers}");
         }
         let small = text.replace("\"cores\"", "\"memory_mb\":32,\"cores\"");
         let small = parse(&small).expect("usable");
         let budget = small.limits().of(1);
-        let held = budget.clients.open_most as f64 * CLIENT_BYTES + budget.body_bytes as f64;
+        let held = budget.clients.open_most as f64 * CLIENT_BYTES + budget.room.body_bytes as f64;
         assert!(held <= 16.0 * 1024.0 * 1024.0 && budget.clients.open_most > 250);
-        assert!(small.limits().of(2).body_bytes * 2 <= budget.body_bytes);
+        assert!(small.limits().of(2).room.body_bytes * 2 <= budget.room.body_bytes);
         let over = Config::parse(
             text.as_bytes(),
             Places { listen: Some("127.0.0.2:90".into()), ..Places::default() },
@@ -274,7 +296,7 @@
             "limits":{"maxAttempts":3},"rules":{"coldShare":0.3}}}"#;
         let config = parse(text).expect("usable");
         let moved = config.check(text.replace("127.0.0.1:81", "127.0.0.1:82").as_bytes()).expect("usable");
-        assert_eq!(moved.discovery.port(), 82);
+        assert_eq!(moved.plan.pools[0].members, Members::Discovery(([127, 0, 0, 1], 82).into()));
         assert!(config.check(text.replace(r#""known":{"rev":1,"targets":[]},"#, "").as_bytes()).is_ok());
         for (old, new, fault) in [
             (text, "", "empty"),
--- a/crates/agent/src/pool.rs
+++ b/crates/agent/src/connections.rs
@@ -2,13 +2,14 @@
 
 use crate::rest::Rest;
 use crate::upload::Outgoing;
-use crate::wire::{Gauge, View, Wire};
+use crate::wire::{View, Wire};
 use heronhoist_decision::{Outcome, ServerId};
+use heronhoist_engine::Part;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -23,16 +24,8 @@
 const HEAD_MOST: usize = 16 * 1024;
 const HEADERS_MOST: usize = 64;
 
-/// A server's address, and which of its lives this is: connections to an earlier one are not used again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Place {
-    /// The server.
-    pub server: ServerId,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Counts its restarts and moves.
-    pub life: u64,
-}
+/// A server on the network.
+pub type Place = heronhoist_engine::Place<SocketAddr>;
 
 /// A connection that carries no request.
 struct Idle {
@@ -99,28 +92,51 @@
     }
 }
 
-/// The connections to all backends.
-pub struct Pool {
+/// The connections of all pools of the process, which share its descriptors.
+#[derive(Default)]
+pub struct Siblings(RefCell<Vec<Weak<Connections>>>);
+
+impl Siblings {
+    /// Closes the coldest idle connection of those pools that hold more than their reserve; false if there is none.
+    fn close_borrowed(&self) -> bool {
+        let all: Vec<_> = self.0.borrow().iter().filter_map(Weak::upgrade).collect();
+        let borrowed = all.iter().filter(|sibling| sibling.open.borrows());
+        let coldest = borrowed.filter_map(|sibling| Some((sibling.coldest()?, sibling)));
+        coldest.min_by_key(|(since, _)| *since).is_some_and(|(_, sibling)| sibling.close_coldest())
+    }
+}
+
+/// The connections to all backends of a pool.
+pub struct Connections {
     idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
-    open: Gauge,
-    open_most: Cell<usize>,
+    open: Rc<Part>,
+    siblings: Rc<Siblings>,
     connect_timeout: Cell<Duration>,
     rest: Rest,
 }
 
-impl Pool {
-    /// No connections yet.
-    pub fn new(open_most: usize, connect_timeout: Duration, keepalive: Duration) -> Rc<Self> {
+impl Connections {
+    /// No connections yet, and no more than `open` has room for.
+    pub fn new(
+        open: Rc<Part>,
+        siblings: &Rc<Siblings>,
+        connect_timeout: Duration,
+        keepalive: Duration,
+    ) -> Rc<Self> {
         let rest = Rest::new(keepalive.mul_f64(REST_SHARE));
-        let (idle, open) = Default::default();
-        let (open_most, connect_timeout) = (Cell::new(open_most), Cell::new(connect_timeout));
-        Rc::new(Pool { idle, open, open_most, connect_timeout, rest })
+        let (idle, connect_timeout) = (RefCell::default(), Cell::new(connect_timeout));
+        let siblings = Rc::clone(siblings);
+        let connections = Rc::new(Connections { idle, open, siblings, connect_timeout, rest });
+        let mut all = connections.siblings.0.borrow_mut();
+        all.retain(|sibling| sibling.strong_count() > 0);
+        all.push(Rc::downgrade(&connections));
+        drop(all);
+        connections
     }
 
-    /// Holds so many at most from now on, as far as those beyond are idle.
-    pub fn limit(&self, open_most: usize) {
-        self.open_most.set(open_most);
-        for _ in open_most..self.open.count() {
+    /// Closes what rests, as far as there are more connections than there may be after their number was made smaller.
+    pub fn shrink(&self) {
+        for _ in 0..self.open.excess() {
             if !self.close_coldest() {
                 return;
             }
@@ -136,7 +152,7 @@
     /// How many are open.
     #[cfg(test)]
     pub fn count(&self) -> usize {
-        self.open.count()
+        self.open.held()
     }
 
     /// The warmest idle connection, or a new one.
@@ -145,17 +161,20 @@
             let Idle { sender, view, task, since, .. } = idle;
             return Ok(Lease { sender: Some(sender), view, task, rested: Some(since.elapsed()) });
         }
-        if self.open.count() >= self.open_most.get() && !self.close_coldest() {
-            return Err(Outcome::NotSent);
-        }
-        let ticket = self.open.enter();
+        // What is closed for this one gives its descriptor back in a moment.
+        let made_room = || self.close_coldest() || self.siblings.close_borrowed();
+        let portion = match self.open.take(1) {
+            Some(portion) => portion,
+            None if made_room() => self.open.overdraw(1),
+            None => return Err(Outcome::NotSent),
+        };
         let stream = match timeout(self.connect_timeout.get(), TcpStream::connect(place.address)).await {
             Ok(Ok(stream)) => stream,
             // Out of descriptors: the fault is here, not the server's.
             Ok(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)) => return Err(Outcome::NotSent),
             Ok(Err(_)) | Err(_) => return Err(Outcome::ConnectFailed),
         };
-        let (wire, view) = Wire::new(stream, ticket);
+        let (wire, view) = Wire::new(stream, portion);
         let mut builder = Builder::new();
         builder.max_buf_size(HEAD_MOST).max_headers(HEADERS_MOST);
         let Ok((sender, connection)) = builder.handshake(wire).await else {
@@ -202,6 +221,11 @@
         oldest.map(|pool| pool.remove(0).task.abort()).is_some()
     }
 
+    /// When the coldest of the idle connections was last used.
+    fn coldest(&self) -> Option<Instant> {
+        self.idle.borrow().values().filter_map(|pool| pool.first()).map(|idle| idle.since).min()
+    }
+
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, server: ServerId) {
         for idle in self.idle.borrow_mut().remove(&server).unwrap_or_default() {
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -1,20 +1,21 @@
 //! Asks discovery for the list of backends: a watch on changes, and the whole list once.
 
-use crate::driver::Driver;
-use crate::wire::{Gauge, Wire};
+use crate::wire::Wire;
 use bytes::Bytes;
+use heronhoist_decision::Time;
+use heronhoist_engine::{Feed, List, Member, Membership};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use serde::de::IgnoredAny;
 use serde::{Deserialize, Deserializer};
-use std::cell::Cell;
+use std::future::Future;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::pin::Pin;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -93,6 +94,32 @@
     pub boot_ms: f64,
 }
 
+impl From<ListReply> for List<SocketAddr> {
+    fn from(reply: ListReply) -> Self {
+        let members = reply.targets.into_iter().map(Member::from).collect();
+        List { version: reply.rev, whole: reply.all, members }
+    }
+}
+
+impl From<Target> for Member<SocketAddr> {
+    fn from(target: Target) -> Self {
+        Member {
+            name: target.uid,
+            address: target.endpoint,
+            zone: target.az,
+            kind: target.model,
+            cell: target.pod_group,
+            state: match target.state {
+                State::Serving => heronhoist_engine::State::Serving,
+                State::Draining => heronhoist_engine::State::Draining,
+                State::Deleted => heronhoist_engine::State::Gone,
+            },
+            weight: target.capacity_hint,
+            started: (target.boot_ms > 0.0).then(|| Time::from_ms(target.boot_ms)),
+        }
+    }
+}
+
 /// The states of a backend.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
@@ -105,36 +132,6 @@
     Deleted,
 }
 
-/// How the driver and the operators tell discovery what they want.
-pub struct Commands {
-    following: watch::Sender<bool>,
-    fetch: Notify,
-    source: watch::Sender<SocketAddr>,
-}
-
-impl Commands {
-    /// Neither watching nor asking.
-    pub fn new(source: SocketAddr) -> Rc<Self> {
-        let (following, source) = (watch::Sender::new(false), watch::Sender::new(source));
-        Rc::new(Commands { following, fetch: Notify::new(), source })
-    }
-
-    /// Starts or ends the watch.
-    pub fn follow(&self, active: bool) {
-        self.following.send_replace(active);
-    }
-
-    /// Asks for the whole list once.
-    pub fn fetch(&self) {
-        self.fetch.notify_one();
-    }
-
-    /// Discovery listens elsewhere from now on; true if that is news.
-    pub fn move_to(&self, source: SocketAddr) -> bool {
-        self.source.send_if_modified(|old| std::mem::replace(old, source) != source)
-    }
-}
-
 /// A kept connection to discovery; it is closed when this is dropped.
 struct Line {
     sender: SendRequest<Empty<Bytes>>,
@@ -149,7 +146,7 @@
 
 async fn connect(address: SocketAddr) -> Option<Line> {
     let stream = timeout(CONNECT_WAIT, TcpStream::connect(address)).await.ok()?.ok()?;
-    let (wire, _) = Wire::new(stream, Gauge::default().enter());
+    let (wire, _) = Wire::new(stream, ());
     let (sender, connection) = http1::handshake(wire).await.ok()?;
     let task = tokio::task::spawn_local(async move {
         let _ = connection.await;
@@ -178,80 +175,80 @@
     Some(list)
 }
 
-/// Asks discovery wherever it is for as long as the agent lives. `known` is the version of the list that the agent
-/// started with, if that may stand until something newer comes; `pushed`: the list is sent by itself.
-pub async fn run(driver: Driver, commands: Rc<Commands>, known: Option<i64>, pushed: bool) {
-    let mut source = commands.source.subscribe();
-    if pushed {
-        commands.follow(true);
-    }
-    // What the agent was told at its start came from the first source.
-    let mut version = known;
-    loop {
-        let address = *source.borrow_and_update();
-        let asking = Asking { driver: &driver, commands: &commands, address, version: Cell::new(version) };
-        tokio::select! {
-            () = asking.watch(pushed) => return,
-            () = asking.fetch() => return,
-            // The calls that are out end here: what the old source still answers must not overwrite the new list.
-            moved = source.changed() => if moved.is_err() { return },
-        }
-        version = None;
+/// The platform's discovery.
+pub struct Discovery {
+    /// Where it listens; may change.
+    pub source: watch::Receiver<SocketAddr>,
+    /// The list is sent by itself.
+    pub pushed: bool,
+}
+
+impl Membership<SocketAddr> for Discovery {
+    fn run(self: Box<Self>, feed: Feed<SocketAddr>) -> Pin<Box<dyn Future<Output = ()>>> {
+        Box::pin(async move {
+            let Discovery { mut source, pushed } = *self;
+            if pushed {
+                feed.follow();
+            }
+            loop {
+                let address = *source.borrow_and_update();
+                let asking = Asking { feed: &feed, address };
+                tokio::select! {
+                    () = asking.watch(pushed) => return,
+                    () = asking.fetch() => return,
+                    // The calls that are out end here: what the old source still answers must not overwrite the new
+                    // list.
+                    moved = source.changed() => if moved.is_err() { return },
+                }
+                feed.new_source();
+            }
+        })
     }
 }
 
 /// The calls to one source.
 struct Asking<'a> {
-    driver: &'a Driver,
-    commands: &'a Commands,
+    feed: &'a Feed<SocketAddr>,
     address: SocketAddr,
-    /// The version of the list that this source has told; another source's versions say nothing here.
-    version: Cell<Option<i64>>,
 }
 
 impl Asking<'_> {
-    fn listed(&self, list: ListReply) {
-        self.version.set(Some(list.rev));
-        self.driver.listed(list);
-    }
-
     /// Watches as long as the module follows the list. Where lists are pushed the watch is the push: it runs at
     /// all times, and a failure is no news to the module, which has asked for nothing.
     async fn watch(&self, pushed: bool) {
-        let mut following = self.commands.following.subscribe();
         let mut line = None;
         // A new source owes nothing to the version of the old one: it is asked for the whole list first, whatever
         // the module is waiting for, until it has answered. What is known stands till then.
-        while self.version.get().is_none() {
+        while self.feed.version().is_none() {
             match timeout(MOVED_WAIT, call(self.address, &mut line, LIST_PATH)).await.ok().flatten() {
-                Some(list) => self.listed(ListReply { all: true, ..list }),
+                Some(list) => {
+                    self.feed.listed(ListReply { all: true, ..list }.into());
+                }
                 None => sleep(MOVED_PAUSE).await,
             }
         }
         loop {
-            if following.wait_for(|active| *active).await.is_err() {
-                return;
-            }
-            let version = self.version.get().unwrap_or_default();
-            let path = format!("{LIST_PATH}?from={version}&hold_ms={}", HOLD.as_millis());
+            self.feed.followed(true).await;
+            let version = self.feed.version();
+            let path =
+                format!("{LIST_PATH}?from={}&hold_ms={}", version.unwrap_or_default(), HOLD.as_millis());
             let asked = Instant::now();
             let answer = tokio::select! {
                 answer = timeout(HOLD + ANSWER_WAIT, call(self.address, &mut line, &path)) => answer.ok().flatten(),
-                _ = following.wait_for(|active| !active) => continue,
+                () = self.feed.followed(false) => continue,
             };
             match answer {
                 Some(list) => {
-                    let empty = Some(list.rev) == self.version.get() && asked.elapsed() < EMPTY_PAUSE;
-                    self.listed(list);
-                    if empty {
+                    let empty = Some(list.rev) == self.feed.version() && asked.elapsed() < EMPTY_PAUSE;
+                    let taken = self.feed.listed(list.into());
+                    if empty || !taken {
                         sleep(EMPTY_PAUSE).await;
                     }
                 }
                 None if pushed => sleep(PUSHED_PAUSE).await,
                 None => {
                     line = None;
-                    self.commands.follow(false);
-                    self.driver.list_failed();
+                    self.feed.lost();
                 }
             }
         }
@@ -260,12 +257,13 @@
     /// Fetches the whole list whenever the module asks for it.
     async fn fetch(&self) {
         loop {
-            self.commands.fetch.notified().await;
+            self.feed.asked().await;
             match timeout(ANSWER_WAIT, call(self.address, &mut None, LIST_PATH)).await.ok().flatten() {
-                Some(list) if Some(list.rev) >= self.version.get() => self.listed(list),
-                // The watch has brought something newer meanwhile.
-                Some(_) => {}
-                None => self.driver.list_failed(),
+                // Left out if the watch has brought something newer meanwhile.
+                Some(list) => {
+                    self.feed.listed(list.into());
+                }
+                None => self.feed.failed(),
             }
         }
     }
--- a/crates/agent/src/download.rs
+++ b/crates/agent/src/download.rs
@@ -1,9 +1,9 @@
 //! Answers too long to be held whole: passed on as they come, no faster than the client takes them.
 
-use crate::budget::Portion;
-use crate::pool::{Lease, Place, Pool};
+use crate::connections::{Connections, Lease, Place};
 use crate::upload::BODY_MOST;
 use bytes::Bytes;
+use heronhoist_engine::Portion;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::collections::VecDeque;
 use std::future::Future;
@@ -24,7 +24,7 @@
     /// What it leads to.
     pub place: Place,
     /// Where it came from.
-    pub pool: Rc<Pool>,
+    pub connections: Rc<Connections>,
 }
 
 /// The body of an answer that is passed on while it comes.
@@ -54,8 +54,8 @@
 
     /// All of it has come.
     fn give_back(&mut self) {
-        if let Some(Origin { lease, place, pool }) = self.origin.take() {
-            pool.give_back(place, lease);
+        if let Some(Origin { lease, place, connections }) = self.origin.take() {
+            connections.give_back(place, lease);
         }
     }
 
--- a/crates/agent/src/handover.rs
+++ b/crates/agent/src/handover.rs
@@ -2,7 +2,6 @@
 //! over a Unix socket in `$TMPDIR`. Both then accept from one queue, so that nothing in it is reset when the old one
 //! closes its end. The connection between the two stays open: while it does, they share the limits.
 
-use crate::log::log;
 use rustix::cmsg_space;
 use rustix::net::{recvmsg, sendmsg};
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags};
@@ -93,7 +92,7 @@
     pub async fn relieve(self) {
         let told = self.stream.writable().await.and_then(|()| self.stream.try_write(&[READY]));
         if let Err(e) = told {
-            log(&format!("cannot tell the process before this one: {e}"));
+            tracing::warn!(error = %e, "cannot tell the process before this one");
         }
         // It never says anything more: what can be read is its end.
         while self.stream.readable().await.is_ok() {
@@ -103,7 +102,7 @@
                 Ok(_) | Err(_) => {}
             }
         }
-        log("the process before this one has gone; its share of the limits is free");
+        tracing::info!("the process before this one has gone; its share of the limits is free");
     }
 }
 
@@ -126,11 +125,11 @@
             Some((listener.into(), predecessor))
         }
         Ok(Err(e)) => {
-            log(&format!("the process that serves has not passed its socket: {e}"));
+            tracing::warn!(error = %e, "the process that serves has not passed its socket");
             None
         }
         Err(_) => {
-            log("the process that serves has not passed its socket in time");
+            tracing::warn!("the process that serves has not passed its socket in time");
             None
         }
     }
@@ -162,7 +161,7 @@
 pub fn meet(place: &Path) -> Option<UnixListener> {
     let meeting = open(place);
     if let Err(e) = &meeting {
-        log(&format!("no handover: cannot wait at {}: {e}", place.display()));
+        tracing::warn!(place = %place.display(), error = %e, "no handover");
     }
     meeting.ok()
 }
@@ -184,7 +183,7 @@
                 let share = sharers.enter();
                 tokio::task::spawn_local(attend(stream, share));
             }
-            Err(e) => log(&format!("cannot pass the listening socket: {e}")),
+            Err(e) => tracing::warn!(error = %e, "cannot pass the listening socket"),
         }
     }
 }
@@ -200,7 +199,7 @@
 
 /// Follows a successor until it has gone.
 async fn attend(stream: UnixStream, share: Share) {
-    log("another process has taken the listening socket");
+    tracing::info!("another process has taken the listening socket");
     let mut ready = false;
     while stream.readable().await.is_ok() {
         let mut said = [0; 16];
@@ -209,7 +208,7 @@
             Ok(n) if !ready && said[..n].contains(&READY) => {
                 ready = true;
                 share.0.ready.set(share.0.ready.get() + 1);
-                log("the other process can serve");
+                tracing::info!("the other process can serve");
             }
             Err(e) if e.kind() != io::ErrorKind::WouldBlock => break,
             Ok(_) | Err(_) => {}
@@ -218,5 +217,5 @@
     if ready {
         share.0.ready.set(share.0.ready.get() - 1);
     }
-    log("the other process has gone");
+    tracing::info!("the other process has gone");
 }
--- a/crates/agent/src/intake.rs
+++ b/crates/agent/src/intake.rs
@@ -1,13 +1,12 @@
 //! Reads a client's request and checks all that can be wrong with it, before anything is done for it.
 
 use crate::backend::{joined, Call};
-use crate::budget::Budget;
-use crate::driver::Arrival;
 use crate::metrics::ClassCounters;
 use crate::seats::Seat;
 use crate::upload::{Broken, Payload, Source, Upload, BODY_MOST, HELD_MOST};
-use heronhoist_decision::{ClassId, Effect, KeyId, Settings, Span, TenantId};
-use heronhoist_settings::SettingsFile;
+use heronhoist_decision::{ClassId, Effect, KeyId, Span, TenantId};
+use heronhoist_engine::{Exchange, Part};
+use heronhoist_routes::Attributes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
@@ -25,9 +24,6 @@
 /// The longest name of a request.
 const CALL_ID_MOST: usize = 128;
 
-/// When to come back if there was no memory for a body: others are done with theirs by then.
-const BODY_RETRY: Span = Span(100_000);
-
 const CALL_ID: HeaderName = HeaderName::from_static("x-call-id");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
@@ -56,20 +52,6 @@
     pub classes: Vec<Rc<Class>>,
     /// The tenants' names.
     pub tenants: Vec<String>,
-    /// The memory for bodies.
-    pub bodies: Rc<Budget>,
-    /// When to come back if there was none, where the settings let clients be told.
-    pub retry_after: Option<Span>,
-}
-
-/// A request that can be passed on.
-pub struct Taken {
-    /// As it goes to a backend.
-    pub call: Call,
-    /// The client's name for it.
-    pub call_id: HeaderValue,
-    /// As it goes to the module.
-    pub arrival: Arrival,
 }
 
 /// What the head alone shows of a request that can be passed on.
@@ -82,6 +64,29 @@
     body: Incoming,
 }
 
+impl Checked {
+    /// What routes can ask of it.
+    pub fn attributes<'a>(
+        &'a self,
+        front: &'a str,
+        labels: &'a dyn Fn(&str) -> Option<&'a str>,
+    ) -> Attributes<'a> {
+        let (class, path) = (self.class.name.as_str(), self.head.uri.path());
+        let tenant = text(&self.head.headers, "x-caller");
+        Attributes { front, class, tenant, path, labels: Some(labels) }
+    }
+
+    /// A header that stands there once.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        text(&self.head.headers, name)
+    }
+
+    /// Turns it away; what its client is still writing is read for a while, so that it comes to read its answer.
+    pub fn discard(self) {
+        discard(self.body);
+    }
+}
+
 /// Why a request is turned away.
 pub type Fault = (StatusCode, &'static str);
 
@@ -98,17 +103,6 @@
 }
 
 impl Catalogue {
-    /// What these settings say, with the numbers that their classes have been given.
-    pub fn new(
-        classes: Vec<Rc<Class>>,
-        file: &SettingsFile,
-        settings: &Settings,
-        bodies: Rc<Budget>,
-    ) -> Self {
-        let retry_after = settings.retry_after.then(|| BODY_RETRY.min(settings.max_retry_after));
-        Catalogue { classes, tenants: file.tenant_names(), bodies, retry_after }
-    }
-
     /// How long a request may take at most.
     pub fn longest_deadline(&self) -> Duration {
         self.classes.iter().map(|class| class.deadline()).max().unwrap_or_default()
@@ -126,12 +120,17 @@
         }
     }
 
-    /// Reads the rest of a request; whatever is wrong with it ends here.
-    pub async fn read(&self, seat: &Seat, checked: Checked) -> Result<Taken, Fault> {
+    /// Reads the rest of a request into the memory for `bodies`; whatever is wrong with it ends here.
+    pub async fn read(
+        &self,
+        seat: &Seat,
+        bodies: &Rc<Part>,
+        checked: Checked,
+    ) -> Result<Exchange<Call>, Fault> {
         let Checked { class, call_id, budget, head, body } = checked;
         let stated = body.size_hint().exact();
         let held_most = stated.map_or(HELD_MOST, |bytes| HELD_MOST.min(bytes as usize));
-        let Some(portion) = self.bodies.take(held_most) else {
+        let Some(portion) = bodies.take(held_most) else {
             discard(body);
             return Err((StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now"));
         };
@@ -164,21 +163,16 @@
         let deadline = ended.then(|| Instant::now() + budget);
         let cost = text(&head.headers, "x-call-cost").and_then(|t| t.parse::<f64>().ok());
         let tenant = text(&head.headers, "x-caller");
-        let arrival = Arrival {
-            class: class.id,
-            tenant: tenant.and_then(|t| self.tenants.iter().position(|n| n == t)).map(TenantId),
-            key: one(&head.headers, "x-route-hash").map(|key| KeyId(hash(key.as_bytes()))),
-            cost_hint: cost.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span::from_ms(us / 1e3)),
-            repeat: text(&head.headers, "x-again") == Some("1"),
-            budget,
-            deadline,
-        };
         let mut headers = HeaderMap::with_capacity(6);
         for name in [CALL_ID, IDEMPOTENCY_KEY, HOST, CONTENT_TYPE] {
             if let Some(value) = head.headers.get(&name) {
                 headers.insert(name, value.clone());
             }
         }
+        let tenant = tenant.and_then(|t| self.tenants.iter().position(|n| n == t)).map(TenantId);
+        let key = one(&head.headers, "x-route-hash").map(|key| KeyId(hash(key.as_bytes())));
+        let repeat = text(&head.headers, "x-again") == Some("1");
+        let cost_hint = cost.filter(|us| us.is_finite() && *us > 0.0).map(|us| Span::from_ms(us / 1e3));
         let parts = head.uri.into_parts();
         let uri = parts.path_and_query.map(Into::into).unwrap_or_default();
         let call = Call {
@@ -190,7 +184,8 @@
             counters: Some(Rc::clone(&class.counters)),
             _portion: Some(portion),
         };
-        Ok(Taken { call, call_id, arrival })
+        let (name, class) = (Some(call_id.as_bytes().into()), class.id);
+        Ok(Exchange { call, name, class, tenant, key, cost_hint, repeat, budget, deadline })
     }
 
     /// What the head alone shows: the class, the name, the client's time and the head's length.
--- /dev/null
+++ b/crates/agent/src/lanes.rs
@@ -0,0 +1,193 @@
+//! The pools of the process as a plan names them, made, revised and closed as plans change.
+
+use crate::backend::Http;
+use crate::connections::{Connections, Siblings};
+use crate::discovery::Discovery;
+use crate::plan::{Members, PoolPlan};
+use heronhoist_decision::{ClassId, Discovery as Heard, Settings, Span};
+use heronhoist_engine::{Declined, Fixed, Levels, List, Member, Membership, Part, Pool, Quota, Setup};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+
+/// When to come back if there was no memory for a body: others are done with theirs by then.
+const BODY_RETRY: Span = Span(100_000);
+
+/// What changes a pool's list from here.
+enum Source {
+    Discovery(watch::Sender<SocketAddr>),
+    Fixed(watch::Sender<Vec<Member<SocketAddr>>>),
+}
+
+/// One pool, and what belongs to it here.
+pub struct Lane {
+    /// The pool.
+    pub pool: Pool<Http>,
+    /// The memory for bodies of its requests and answers.
+    pub bodies: Rc<Part>,
+    source: Source,
+    /// The longest time to come back that its clients may be told; none where the settings don't let them be told.
+    advice_most: Cell<Option<Span>>,
+}
+
+impl Lane {
+    /// When a client is told to come back that was declined.
+    pub fn advice(&self, declined: Declined) -> Option<Span> {
+        Some(declined.come_back()?.min(self.advice_most.get()?))
+    }
+
+    /// When a client is told to come back for whose body there was no memory.
+    pub fn body_advice(&self) -> Option<Span> {
+        Some(BODY_RETRY.min(self.advice_most.get()?))
+    }
+
+    /// Takes over a plan of the same membership; false, and nothing changed, if the list comes from elsewhere now.
+    fn revise(&self, plan: &PoolPlan, ids: &[ClassId]) -> bool {
+        match (&self.source, &plan.members) {
+            (Source::Discovery(source), Members::Discovery(address)) => {
+                source.send_if_modified(|old| std::mem::replace(old, *address) != *address);
+            }
+            (Source::Fixed(source), Members::Fixed(members)) => {
+                source.send_if_modified(|old| {
+                    let changed = old != members;
+                    old.clone_from(members);
+                    changed
+                });
+            }
+            (Source::Discovery(_), Members::Fixed(_)) | (Source::Fixed(_), Members::Discovery(_)) => {
+                return false
+            }
+        }
+        self.pool.upstream().revise(&plan.http);
+        self.advice_most.set(advice_most(&plan.settings));
+        self.pool.revise(plan.settings.clone(), ids.to_vec(), &plan.names.zones);
+        true
+    }
+}
+
+fn advice_most(settings: &Settings) -> Option<Span> {
+    settings.retry_after.then_some(settings.max_retry_after)
+}
+
+/// All pools, and what they share.
+pub struct Lanes {
+    lanes: RefCell<Vec<Rc<Lane>>>,
+    siblings: Rc<Siblings>,
+    connections: Rc<Quota>,
+    bodies: Rc<Quota>,
+    requests: Rc<Quota>,
+    seed: Cell<u64>,
+}
+
+/// What the process may hold for all pools.
+#[derive(Clone, Copy)]
+pub struct Room {
+    /// Connections to record servers.
+    pub connections: usize,
+    /// Bytes of bodies.
+    pub body_bytes: usize,
+}
+
+impl Lanes {
+    /// No pools yet; together they may hold so many requests at any time.
+    pub fn new(room: Room, requests: usize, seed: u64) -> Rc<Self> {
+        let (lanes, siblings) = Default::default();
+        let (connections, bodies) = (Quota::new(room.connections), Quota::new(room.body_bytes));
+        let (requests, seed) = (Quota::new(requests), Cell::new(seed));
+        Rc::new(Lanes { lanes, siblings, connections, bodies, requests, seed })
+    }
+
+    /// So much from now on; what is held beyond that is given back as far as it rests.
+    pub fn limit(&self, room: Room) {
+        self.connections.set(room.connections);
+        self.bodies.set(room.body_bytes);
+        self.lanes.borrow().iter().for_each(|lane| lane.pool.upstream().connections().shrink());
+    }
+
+    /// The pools, in the order of the plan.
+    pub fn all(&self) -> Vec<Rc<Lane>> {
+        self.lanes.borrow().clone()
+    }
+
+    /// True if there is a server to send to in one of them.
+    pub fn can_decide(&self) -> bool {
+        self.lanes.borrow().iter().any(|lane| lane.pool.can_decide())
+    }
+
+    /// What all of them are now, added up.
+    pub fn levels(&self) -> Levels {
+        let lanes = self.lanes.borrow();
+        let levels = lanes.iter().map(|lane| lane.pool.levels());
+        levels.fold(Levels::default(), |a, b| Levels {
+            known: a.known + b.known,
+            excluded: a.excluded + b.excluded,
+            open: a.open + b.open,
+        })
+    }
+
+    /// Takes over the pools of a plan, whose settings have been validated. A pool goes on under its name unless its list
+    /// comes from elsewhere now; one that the plan lacks takes nothing new, and what is under way in it ends as it began.
+    /// `known` is the first pool's list as it was last known, and whether the source's versions go on from there.
+    pub fn revise(&self, plans: &[PoolPlan], ids: &[ClassId], mut known: Option<(List<SocketAddr>, bool)>) {
+        let old = self.lanes.take();
+        let lanes = plans.iter().map(|plan| {
+            let same = old.iter().find(|lane| lane.pool.name() == plan.name && lane.revise(plan, ids));
+            same.map_or_else(|| self.open(plan, ids, known.take()), Rc::clone)
+        });
+        let lanes: Vec<Rc<Lane>> = lanes.collect();
+        for lane in old.iter().filter(|lane| !lanes.iter().any(|other| Rc::ptr_eq(lane, other))) {
+            lane.pool.close();
+        }
+        self.lanes.replace(lanes);
+    }
+
+    fn open(&self, plan: &PoolPlan, ids: &[ClassId], known: Option<(List<SocketAddr>, bool)>) -> Rc<Lane> {
+        let http = &plan.http;
+        let open = self.connections.part();
+        let connections = Connections::new(open, &self.siblings, http.connect_timeout, http.keepalive);
+        let bodies = self.bodies.part();
+        let upstream =
+            Http::new(connections, Rc::clone(&bodies), http.report_names.clone(), http.has_reports);
+        let (source, membership): (_, Box<dyn Membership<SocketAddr>>) = match &plan.members {
+            Members::Discovery(address) => {
+                let (tell, source) = watch::channel(*address);
+                let pushed = plan.settings.discovery == Heard::Pushed;
+                (Source::Discovery(tell), Box::new(Discovery { source, pushed }))
+            }
+            Members::Fixed(members) => {
+                let (tell, told) = watch::channel(members.clone());
+                (Source::Fixed(tell), Box::new(Fixed::new(told)))
+            }
+        };
+        // A list that stands in the file is known from the start.
+        let fixed = || match &plan.members {
+            Members::Fixed(members) => {
+                Some((List { version: 0, whole: true, members: members.clone() }, true))
+            }
+            Members::Discovery(_) => None,
+        };
+        let (known, known_stands) = known.or_else(fixed).map_or((None, false), |(l, s)| (Some(l), s));
+        // Each pool draws for itself.
+        let seed = self.seed.replace(self.seed.get().wrapping_add(0x9e37_79b9_7f4a_7c15));
+        let setup = Setup {
+            name: plan.name.clone(),
+            settings: plan.settings.clone(),
+            seed,
+            names: plan.names.clone(),
+            known,
+            known_stands,
+            upstream,
+            requests: self.requests.part(),
+        };
+        let pool = Pool::new(setup).expect("settings are validated with their plan");
+        // Its classes were numbered by their places; that is no number that another pool's class has.
+        if ids.iter().enumerate().any(|(place, id)| place != id.0) {
+            pool.revise(plan.settings.clone(), ids.to_vec(), &plan.names.zones);
+        }
+        spawn_local(pool.clone().run(membership));
+        let advice_most = Cell::new(advice_most(&plan.settings));
+        Rc::new(Lane { pool, bodies, source, advice_most })
+    }
+}
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -1,47 +1,158 @@
-//! Lines for people on call, bounded: a flood of bad peers must not become a flood of lines.
+//! Events for people on call and for machines, through `tracing`: as text or JSON on standard error, with a level for
+//! each target, and bounded: a flood of bad peers must not become a flood of lines.
 
-use std::cell::RefCell;
-use std::io::Write;
+use std::fmt;
+use std::io::{self, Write};
+use std::str::FromStr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
+use tracing::{Event, Metadata, Subscriber};
+use tracing_subscriber::filter::{FilterExt, Targets};
+use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
+use tracing_subscriber::{Layer, Registry};
 
 /// Lines that may come at once, and how many a second after that.
 const BURST: f64 = 100.0;
 const PER_SECOND: f64 = 10.0;
 
+/// How lines look.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl FromStr for Format {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Format::Text),
+            "json" => Ok(Format::Json),
+            other => Err(format!("{other:?} is no log format; text and json are")),
+        }
+    }
+}
+
+impl fmt::Display for Format {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Format::Text => "text",
+            Format::Json => "json",
+        })
+    }
+}
+
 struct Allowance {
     left: f64,
     counted_at: Instant,
     dropped: u64,
+    /// How many were left out before the line that is being written.
+    before: u64,
 }
 
 impl Allowance {
-    /// `None` if the line is over; else how many were before it.
-    fn take(&mut self, now: Instant) -> Option<u64> {
+    fn new(now: Instant) -> Self {
+        Allowance { left: BURST, counted_at: now, dropped: 0, before: 0 }
+    }
+
+    /// False if the line is over.
+    fn take(&mut self, now: Instant) -> bool {
         let earned = now.saturating_duration_since(self.counted_at).as_secs_f64() * PER_SECOND;
         self.counted_at = now;
         self.left = (self.left + earned).min(BURST);
         if self.left < 1.0 {
             self.dropped += 1;
-            return None;
+            return false;
         }
         self.left -= 1.0;
-        Some(std::mem::take(&mut self.dropped))
+        self.before += std::mem::take(&mut self.dropped);
+        true
     }
 }
 
-thread_local! {
-    static ALLOWANCE: RefCell<Allowance> =
-        RefCell::new(Allowance { left: BURST, counted_at: Instant::now(), dropped: 0 });
+/// Lets so many events through and counts the others.
+#[derive(Clone)]
+struct Bound(Arc<Mutex<Allowance>>);
+
+impl<S: Subscriber> Filter<S> for Bound {
+    fn enabled(&self, _: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        true
+    }
+
+    fn event_enabled(&self, _: &Event<'_>, _: &Context<'_, S>) -> bool {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).take(Instant::now())
+    }
+}
+
+/// Writes lines, and before the first after a flood how many were left out; an agent whose log has been closed goes on
+/// without one.
+struct Lines<W> {
+    bound: Bound,
+    format: Format,
+    to: W,
 }
 
-/// Writes a line, unless there have been too many; an agent whose log has been closed goes on without one.
-pub fn log(text: &str) {
-    let Some(dropped) = ALLOWANCE.with_borrow_mut(|a| a.take(Instant::now())) else { return };
-    let mut out = std::io::stderr().lock();
-    if dropped > 0 {
-        let _ = writeln!(out, "heronhoist: {dropped} lines left out");
+impl<'a, W: MakeWriter<'a>> MakeWriter<'a> for Lines<W> {
+    type Writer = Line<W::Writer>;
+
+    fn make_writer(&'a self) -> Self::Writer {
+        let mut to = self.to.make_writer();
+        let before = std::mem::take(&mut self.bound.0.lock().unwrap_or_else(PoisonError::into_inner).before);
+        let _ = match (before, self.format) {
+            (0, _) => Ok(()),
+            (n, Format::Text) => writeln!(to, "heronhoist: {n} lines left out"),
+            (n, Format::Json) => writeln!(
+                to,
+                r#"{{"level":"WARN","target":"heronhoist::log","fields":{{"message":"lines left out","lines":{n}}}}}"#
+            ),
+        };
+        Line(to)
     }
-    let _ = writeln!(out, "heronhoist: {text}");
+}
+
+struct Line<W>(W);
+
+impl<W: Write> Write for Line<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.0.write_all(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        let _ = self.0.flush();
+        Ok(())
+    }
+}
+
+fn subscriber<W>(format: Format, levels: Targets, to: W) -> Box<dyn Subscriber + Send + Sync>
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
+    let bound = Bound(Arc::new(Mutex::new(Allowance::new(Instant::now()))));
+    let lines = Lines { bound: bound.clone(), format, to };
+    let filter = levels.and(bound);
+    let layer =
+        tracing_subscriber::fmt::layer().with_writer(lines).with_ansi(false).log_internal_errors(false);
+    match format {
+        Format::Text => Box::new(Registry::default().with(layer.with_filter(filter))),
+        Format::Json => Box::new(Registry::default().with(layer.json().with_filter(filter))),
+    }
+}
+
+/// What is told where nobody says otherwise: nothing for each request.
+pub fn default_levels() -> Targets {
+    Targets::new().with_default(tracing::Level::INFO)
+}
+
+/// From here on events are written to standard error.
+pub fn start(format: Format, levels: Targets) {
+    // It fails only if a subscriber was set before, which then stands.
+    let _ = tracing::subscriber::set_global_default(subscriber(format, levels, io::stderr));
 }
 
 #[cfg(test)]
@@ -49,12 +160,61 @@
     use super::*;
     use std::time::Duration;
 
+    #[derive(Clone, Default)]
+    struct Page(Arc<Mutex<Vec<u8>>>);
+
+    impl Write for Page {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            self.0.lock().unwrap().write(bytes)
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    fn told(format: Format, levels: &str, tell: impl FnOnce()) -> String {
+        let page = Page::default();
+        let to = page.clone();
+        let subscriber = subscriber(format, levels.parse().unwrap(), move || to.clone());
+        tracing::subscriber::with_default(subscriber, tell);
+        let bytes = page.0.lock().unwrap().clone();
+        String::from_utf8(bytes).unwrap()
+    }
+
     #[test]
     fn lines_over_the_allowance_are_counted_and_not_written() {
         let start = Instant::now();
-        let mut allowance = Allowance { left: BURST, counted_at: start, dropped: 0 };
-        let written = (0..1000).filter(|_| allowance.take(start).is_some()).count();
+        let mut allowance = Allowance::new(start);
+        let written = (0..1000).filter(|_| allowance.take(start)).count();
         assert_eq!(written, BURST as usize);
-        assert_eq!(allowance.take(start + Duration::from_secs(1)), Some(1000 - written as u64));
+        assert!(allowance.take(start + Duration::from_secs(1)));
+        assert_eq!(allowance.before, 1000 - written as u64);
+    }
+
+    #[test]
+    fn levels_hold_for_each_target_and_fields_have_types_in_json() {
+        let page = told(Format::Json, "warn,heronhoist::request=debug", || {
+            tracing::debug!(target: "heronhoist::request", attempt = 2_u32, class = "read", "attempt ended");
+            tracing::info!(target: "heronhoist::engine", "left out by its level");
+        });
+        let line: serde_json::Value = serde_json::from_str(page.trim()).expect("one line of JSON");
+        assert_eq!(line["fields"]["attempt"], 2);
+        assert_eq!(line["fields"]["class"], "read");
+        assert_eq!(line["target"], "heronhoist::request");
+    }
+
+    /// What a flood cost is said with the next line that passes.
+    #[test]
+    fn a_flood_is_cut_off() {
+        let flood = || (0..1000).for_each(|n| tracing::info!(n, "bad peer"));
+        assert_eq!(told(Format::Text, "info", flood).lines().count(), BURST as usize);
+        let page = Page::default();
+        let bound = Bound(Arc::new(Mutex::new(Allowance::new(Instant::now()))));
+        bound.0.lock().unwrap().before = 7;
+        let to = page.clone();
+        let lines = Lines { bound, format: Format::Json, to: move || to.clone() };
+        let _ = lines.make_writer().write(b"next\n");
+        let text = String::from_utf8(page.0.lock().unwrap().clone()).unwrap();
+        assert!(text.contains(r#""lines":7"#) && text.ends_with("next\n"), "{text}");
     }
 }
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,19 +1,20 @@
-//! The real agent: the decisions of `heronhoist-decision` on real sockets. Started with `LB_CONFIG` in the environment.
+//! The agent: the decisions of `heronhoist-decision` on real sockets. Started with `LB_CONFIG` in the environment.
 
 mod backend;
-mod budget;
 mod config;
+mod connections;
 mod discovery;
 mod download;
-mod driver;
+mod gauge;
 mod handover;
 mod head;
 mod intake;
+mod lanes;
 mod log;
 mod metrics;
 mod ops;
 mod patience;
-mod pool;
+mod plan;
 mod reload;
 mod rest;
 mod seats;
@@ -21,19 +22,13 @@
 mod upload;
 mod wire;
 
-use backend::Backends;
-use budget::Budget;
 use config::Config;
-use discovery::Commands;
-use driver::Driver;
 use handover::Sharers;
-use heronhoist_decision::{Discovery, ReportSource};
-use intake::Catalogue;
-use log::log;
+use lanes::Lanes;
 use metrics::Metrics;
-use pool::Pool;
-use reload::{Classes, Reload};
+use reload::{serve, Classes, Reload};
 use server::Server;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -50,12 +45,15 @@
 /// The end, counted from SIGTERM over the longest deadline.
 const STOP_SLACK: Duration = Duration::from_millis(300);
 
+/// The platform's one front.
+const FRONT: &str = "http";
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// A process that takes over waits this long for discovery; then what it knows must do.
 const LIST_WAIT: Duration = Duration::from_millis(2500);
 
 fn main() -> ExitCode {
+    log::start(log::Format::Text, log::default_levels());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let end = match runtime {
         Ok(runtime) => LocalSet::new().block_on(&runtime, run()),
@@ -64,7 +62,8 @@
     match end {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            log(&fault);
+            // One plain line, whatever the log is like.
+            let _ = writeln!(std::io::stderr(), "heronhoist: {fault}");
             ExitCode::FAILURE
         }
     }
@@ -84,12 +83,8 @@
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
     let mut config = Config::from_env()?;
-    let file = &config.settings;
-    let settings = file.settings();
     let metrics = Rc::new(Metrics::default());
     let mut classes = Classes::new(Rc::clone(&metrics));
-    let present = classes.revise(file, &settings);
-    let pushed = settings.discovery == Discovery::Pushed;
     let sharers = Rc::new(Sharers::default());
     let place = handover::meeting_place(config.listen);
     let inherited = match &place {
@@ -98,36 +93,21 @@
     };
     // What it holds at first is as if it were not alone.
     let budget = config.limits().of(2);
-    let bodies = Budget::new(budget.body_bytes);
-    let (connect_timeout, keepalive) = (backend::connect_timeout(file), backend::keepalive(file));
-    let pool = Pool::new(budget.backend_connections, connect_timeout, keepalive);
-    let backends = Backends::new(
-        Rc::clone(&pool),
-        Rc::clone(&bodies),
-        file.report_names().to_vec(),
-        settings.report_source != ReportSource::None,
-    );
-    let catalogue = Catalogue::new(present, file, &settings, Rc::clone(&bodies));
-    let commands = Commands::new(config.discovery);
-    let names = (file.zone_names(), file.kind_names());
+    // A client's connection carries one request at a time, and there may be so many once this process is alone.
+    let requests = config.limits().of(1).clients.open_most;
+    let lanes = Lanes::new(budget.room, requests, config.seed);
     // The list in the file may be old. Where a process has served up to now, that one knows better: this one serves
     // once it has been told all.
-    let version = config.known.as_ref().map_or(0, |list| list.rev);
-    let version = inherited.is_none().then_some(version);
-    let known = config.known.take();
-    let driver =
-        Driver::new(settings, config.seed, names, known, Rc::clone(&backends), Rc::clone(&commands))?;
-    spawn_local(driver.clone().run());
-    spawn_local(discovery::run(driver.clone(), Rc::clone(&commands), version, pushed));
-
-    let server = Server::new(driver.clone(), catalogue, Rc::clone(&metrics), budget.clients);
+    let known = config.known.take().map(|list| (list, inherited.is_none()));
+    let serving = serve(&config.plan, &mut classes, &lanes, known);
+    let server = Server::new(serving, Rc::clone(&lanes), Rc::clone(&metrics), budget.clients);
     spawn_local(Rc::clone(&server).sweep());
     if let Some(ops) = config.ops {
         let listener =
             TcpListener::bind(ops).await.map_err(|e| format!("cannot listen for operators on {ops}: {e}"))?;
         let place = listener.local_addr().map_err(|e| e.to_string())?;
         spawn_local(ops::run(listener, Rc::clone(&server)));
-        log(&format!("operators may call at {place}"));
+        tracing::info!("operators may call at {place}");
     }
     let (listener, predecessor) = match inherited {
         Some((listener, predecessor)) => (TcpListener::from_std(listener), Some(predecessor)),
@@ -135,40 +115,37 @@
     };
     let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
     let address = listener.local_addr().map_err(|e| e.to_string())?;
+    let front: Rc<str> = FRONT.into();
     let allot = {
-        let (limits, server, bodies) = (config.limits(), Rc::clone(&server), Rc::clone(&bodies));
+        let (limits, server, lanes) = (config.limits(), Rc::clone(&server), Rc::clone(&lanes));
         move |sharers| {
             let budget = limits.of(sharers);
             server.limit(budget.clients);
-            pool.limit(budget.backend_connections);
-            bodies.set(budget.body_bytes);
+            lanes.limit(budget.room);
         }
     };
     sharers.on_change(allot);
-    let reload = Reload {
-        config,
-        classes,
-        metrics,
-        driver: driver.clone(),
-        server: Rc::clone(&server),
-        backends,
-        bodies,
-        commands,
-    };
+    let served = lanes.all();
+    let reload = Reload { config, classes, metrics, server: Rc::clone(&server), lanes };
     spawn_local(reload.run(hangup));
     if predecessor.is_some() {
-        let _ = timeout(LIST_WAIT, driver.heard()).await;
+        let heard = async {
+            for lane in served {
+                lane.pool.heard().await;
+            }
+        };
+        let _ = timeout(LIST_WAIT, heard).await;
     }
     // From here on a successor finds the way to this process.
     let meeting = place.and_then(|place| handover::meet(&place));
     let offer = meeting
         .map(|meeting| spawn_local(handover::offer(meeting, Rc::clone(&listener), Rc::clone(&sharers))));
-    log(&format!("listening on {address}"));
+    tracing::info!("listening on {address}");
     if let Some(predecessor) = predecessor {
         spawn_local(predecessor.relieve());
     }
     tokio::select! {
-        () = server.accept(&listener) => {}
+        () = server.accept(&front, &listener) => {}
         _ = term.recv() => {}
     }
 
@@ -184,7 +161,7 @@
         drop(listener);
         sleep(ACCEPT_ON).await;
     } else {
-        let _ = timeout(ACCEPT_ON, server.accept(&listener)).await;
+        let _ = timeout(ACCEPT_ON, server.accept(&front, &listener)).await;
         drop(listener);
     }
     server.close_all();
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -1,6 +1,7 @@
 //! What the agent counts, and the page on which operators read it, in the Prometheus text format.
 
-use crate::wire::{Gauge, Ticket};
+use crate::gauge::{Gauge, Ticket};
+use heronhoist_engine::Levels;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -39,14 +40,6 @@
     pub attempts: Counter,
 }
 
-/// What is read from its owner at the moment of asking.
-pub struct Levels {
-    /// Record servers in the list.
-    pub known: usize,
-    /// Those of them that the agent avoids at present.
-    pub excluded: usize,
-}
-
 /// All counters of the agent.
 #[derive(Default)]
 pub struct Metrics {
@@ -130,7 +123,7 @@
 mod tests {
     use super::*;
 
-    const NONE: Levels = Levels { known: 0, excluded: 0 };
+    const NONE: Levels = Levels { known: 0, excluded: 0, open: 0 };
 
     #[test]
     fn what_was_counted_stands_on_the_page() {
@@ -140,7 +133,7 @@
         lookup.attempts.add();
         metrics.reloads_failed.add();
         let ticket = metrics.take();
-        let page = metrics.render(&Levels { known: 12, excluded: 2 });
+        let page = metrics.render(&Levels { known: 12, excluded: 2, open: 0 });
         for line in [
             "# TYPE app_served_total counter",
             "app_served_total{class=\"lookup\"} 3",
--- a/crates/agent/src/ops.rs
+++ b/crates/agent/src/ops.rs
@@ -1,6 +1,7 @@
 //! The operators' address: whether this process can serve, and what it has counted. One call a connection.
 
-use crate::wire::{Gauge, Wire};
+use crate::gauge::Gauge;
+use crate::wire::Wire;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
--- /dev/null
+++ b/crates/agent/src/plan.rs
@@ -0,0 +1,45 @@
+//! What the agent serves, whichever file says so: the part of a configuration that a reload can change.
+
+use crate::backend::HttpTerms;
+use heronhoist_decision::Settings;
+use heronhoist_engine::{Member, ServerNames};
+use heronhoist_routes::Table;
+use std::net::SocketAddr;
+
+/// Pools, and what is sent to them.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The names of the request classes, in the order of each pool's [`Settings::classes`].
+    pub classes: Vec<String>,
+    /// The names of the tenants, in the order of each pool's [`Settings::tenants`].
+    pub tenants: Vec<String>,
+    /// The fleets; at least one.
+    pub pools: Vec<PoolPlan>,
+    /// Which of them a request goes to.
+    pub routes: Table,
+}
+
+/// One fleet of record servers.
+#[derive(Debug, Clone)]
+pub struct PoolPlan {
+    /// Its name; a pool goes on under its name.
+    pub name: String,
+    /// What its module is told.
+    pub settings: Settings,
+    /// What the numbers of zones and kinds mean.
+    pub names: ServerNames,
+    /// How its servers speak HTTP.
+    pub http: HttpTerms,
+    /// Who says which servers there are.
+    pub members: Members,
+}
+
+/// Where a pool's list comes from.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Members {
+    /// The platform's discovery, at this address.
+    Discovery(SocketAddr),
+    /// The file itself.
+    #[expect(dead_code, reason = "the platform's file has none; others' files do")]
+    Fixed(Vec<Member<SocketAddr>>),
+}
--- a/crates/agent/src/reload.rs
+++ b/crates/agent/src/reload.rs
@@ -1,16 +1,14 @@
 //! New configurations: what the file says now, taken whole or not at all, and the numbers of the classes in it.
 
-use crate::backend::Backends;
-use crate::budget::Budget;
-use crate::config::{Config, Revised};
-use crate::discovery::Commands;
-use crate::driver::Driver;
+use crate::config::Config;
 use crate::intake::{Catalogue, Class};
-use crate::log::log;
+use crate::lanes::Lanes;
 use crate::metrics::Metrics;
-use crate::server::Server;
-use heronhoist_decision::{ClassId, Settings};
-use heronhoist_settings::SettingsFile;
+use crate::plan::{Members, Plan};
+use crate::server::{Server, Serving};
+use heronhoist_decision::ClassId;
+use heronhoist_engine::List;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::signal::unix::Signal;
 
@@ -29,8 +27,9 @@
 
     /// Takes over the classes of these settings. One that is as it was keeps its number; one with other terms is
     /// another class to the module, though it goes on under its name, so that what is under way keeps the old terms.
-    pub fn revise(&mut self, file: &SettingsFile, settings: &Settings) -> Vec<Rc<Class>> {
-        let named = file.class_names().into_iter().zip(settings.classes.iter().cloned());
+    pub fn revise(&mut self, plan: &Plan) -> Vec<Rc<Class>> {
+        let terms = plan.pools.first().map_or(&[][..], |pool| &pool.settings.classes);
+        let named = plan.classes.iter().cloned().zip(terms.iter().cloned());
         let revised = named.map(|(name, terms)| {
             let same = self.present.iter().find(|c| c.name == name && c.terms == terms);
             same.map(Rc::clone).unwrap_or_else(|| {
@@ -52,16 +51,24 @@
     pub classes: Classes,
     /// What counts the files.
     pub metrics: Rc<Metrics>,
-    /// The decisions.
-    pub driver: Driver,
     /// The clients' side.
     pub server: Rc<Server>,
     /// The record servers' side.
-    pub backends: Rc<Backends>,
-    /// The memory for bodies.
-    pub bodies: Rc<Budget>,
-    /// Discovery's side.
-    pub commands: Rc<Commands>,
+    pub lanes: Rc<Lanes>,
+}
+
+/// Takes over what a plan serves; nothing here can fail or wait. The list is the first pool's as it was last known.
+pub fn serve(
+    plan: &Plan,
+    classes: &mut Classes,
+    lanes: &Lanes,
+    known: Option<(List<SocketAddr>, bool)>,
+) -> Serving {
+    let classes = classes.revise(plan);
+    let ids: Vec<ClassId> = classes.iter().map(|class| class.id).collect();
+    lanes.revise(&plan.pools, &ids, known);
+    let catalogue = Catalogue { classes, tenants: plan.tenants.clone() };
+    Serving { catalogue, routes: plan.routes.clone(), lanes: lanes.all() }
 }
 
 impl Reload {
@@ -70,29 +77,28 @@
         while hangup.recv().await.is_some() {
             match self.config.reread() {
                 Ok(revised) => {
-                    self.take(&revised);
+                    self.take(&revised.plan);
                     self.config.revise(revised);
                     self.metrics.reloads_ok.add();
                 }
                 Err(fault) => {
                     self.metrics.reloads_failed.add();
-                    log(&format!("the configuration stays as it was: {fault}"));
+                    tracing::error!(fault, "the configuration stays as it was");
                 }
             }
         }
     }
 
-    /// Nothing here can fail or wait: all parts change between two events.
-    fn take(&mut self, revised: &Revised) {
-        let (file, settings) = (&revised.settings, revised.settings.settings());
-        let classes = self.classes.revise(file, &settings);
-        let ids = classes.iter().map(|class| class.id).collect();
-        self.backends.revise(file, &settings);
-        self.server.revise(Catalogue::new(classes, file, &settings, Rc::clone(&self.bodies)));
-        self.driver.revise(settings, ids, file.zone_names());
-        let moved = self.commands.move_to(revised.discovery);
-        let place = if moved { " and another discovery" } else { "" };
-        log(&format!("new settings{place} taken; discovery is at {}", revised.discovery));
+    /// All parts change between two events.
+    fn take(&mut self, plan: &Plan) {
+        let serving = serve(plan, &mut self.classes, &self.lanes, None);
+        self.server.revise(serving);
+        let places = plan.pools.iter().map(|pool| match &pool.members {
+            Members::Discovery(address) => format!("{} by discovery at {address}", pool.name),
+            Members::Fixed(members) => format!("{} of {} servers", pool.name, members.len()),
+        });
+        let places: Vec<String> = places.collect();
+        tracing::info!(pools = places.join(", "), "new settings taken");
     }
 }
 
@@ -100,12 +106,13 @@
 mod tests {
     use super::*;
 
-    fn file(classes: &[(&str, u32)]) -> SettingsFile {
+    fn plan(classes: &[(&str, u32)]) -> Plan {
         let class = |(name, ms): &(&str, u32)| {
             format!(r#"{{"name":"{name}","effect":"idempotent","aimMs":10,"deadlineMs":{ms},"points":1}}"#)
         };
         let classes: Vec<String> = classes.iter().map(class).collect();
-        serde_json::from_str(&format!(r#"{{"classes":[{}]}}"#, classes.join(","))).unwrap()
+        let file = serde_json::from_str(&format!(r#"{{"classes":[{}]}}"#, classes.join(","))).unwrap();
+        crate::config::plan(&file, ([127, 0, 0, 1], 1).into())
     }
 
     /// A number must never come to mean another class: a request under way would be given its terms.
@@ -114,8 +121,7 @@
         let metrics = Rc::new(Metrics::default());
         let mut classes = Classes::new(Rc::clone(&metrics));
         let mut numbers = |list: &[(&str, u32)]| {
-            let file = file(list);
-            let classes = classes.revise(&file, &file.settings());
+            let classes = classes.revise(&plan(list));
             classes.iter().map(|c| c.id.0).collect::<Vec<_>>()
         };
         assert_eq!(numbers(&[("a", 100), ("b", 100)]), [0, 1]);
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,18 +1,19 @@
 //! The clients' side: takes requests in and gives each exactly one answer.
 
-use crate::backend::Content;
-use crate::budget::Portion;
+use crate::backend::{Call, Content};
 use crate::download::Download;
-use crate::driver::{Answer, Driver};
-use crate::intake::{check_end, fault_of, Catalogue, Fault, Taken};
-use crate::log::log;
+use crate::gauge::{Gauge, Ticket};
+use crate::intake::{check_end, fault_of, Catalogue, Checked, Fault};
+use crate::lanes::{Lane, Lanes};
 use crate::metrics::{ClassCounters, Metrics};
 use crate::ops::Shown;
 use crate::seats::{End, Seat, Seats};
-use crate::upload::Coming;
-use crate::wire::{Gauge, Ticket, Wire};
+use crate::upload::{Broken, Coming};
+use crate::wire::Wire;
 use bytes::Bytes;
-use heronhoist_decision::{RequestId, Span};
+use heronhoist_decision::Span;
+use heronhoist_engine::{Declined, Exchange, Final, Portion};
+use heronhoist_routes::Table;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
@@ -25,10 +26,8 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::{sleep, sleep_until, timeout, Instant};
+use tokio::time::{sleep, timeout};
 
-/// A client that hears nothing from the module gets its answer this long before it stops waiting.
-const ANSWER_RESERVE: Duration = Duration::from_millis(6);
 /// How long a connection that has been asked to close may take to pass on an answer.
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
 /// Pause after an accept that failed for want of descriptors.
@@ -50,10 +49,29 @@
     pub keep_most: usize,
 }
 
+/// What requests are checked against, and where they go.
+pub struct Serving {
+    /// Their classes and tenants.
+    pub catalogue: Catalogue,
+    /// Which pool they go to, by its place.
+    pub routes: Table,
+    /// The pools.
+    pub lanes: Vec<Rc<Lane>>,
+}
+
+impl Serving {
+    /// The pool of a request.
+    fn lane(&self, front: &str, checked: &Checked) -> Option<Rc<Lane>> {
+        let labels = |name: &str| checked.header(name);
+        let place = self.routes.route(&checked.attributes(front, &labels))?;
+        self.lanes.get(place).map(Rc::clone)
+    }
+}
+
 /// The clients' side of the agent.
 pub struct Server {
-    driver: Driver,
-    catalogue: RefCell<Rc<Catalogue>>,
+    serving: RefCell<Rc<Serving>>,
+    lanes: Rc<Lanes>,
     metrics: Rc<Metrics>,
     listening: Cell<bool>,
     longest: Cell<Duration>,
@@ -65,11 +83,11 @@
 
 impl Server {
     /// Serves nobody yet.
-    pub fn new(driver: Driver, catalogue: Catalogue, metrics: Rc<Metrics>, limits: Limits) -> Rc<Self> {
+    pub fn new(serving: Serving, lanes: Rc<Lanes>, metrics: Rc<Metrics>, limits: Limits) -> Rc<Self> {
         let (seats, open, stopping, listening) = Default::default();
-        let longest = Cell::new(catalogue.longest_deadline());
-        let (catalogue, limits) = (RefCell::new(Rc::new(catalogue)), Cell::new(limits));
-        Rc::new(Server { driver, catalogue, metrics, listening, longest, seats, open, limits, stopping })
+        let longest = Cell::new(serving.catalogue.longest_deadline());
+        let (serving, limits) = (RefCell::new(Rc::new(serving)), Cell::new(limits));
+        Rc::new(Server { serving, lanes, metrics, listening, longest, seats, open, limits, stopping })
     }
 
     /// Holds so many connections from now on.
@@ -83,14 +101,14 @@
     }
 
     /// Requests whose head comes from now on are checked against this.
-    pub fn revise(&self, catalogue: Catalogue) {
+    pub fn revise(&self, serving: Serving) {
         // A request that came before may still be under way: the longest of all stands.
-        self.longest.set(self.longest.get().max(catalogue.longest_deadline()));
-        *self.catalogue.borrow_mut() = Rc::new(catalogue);
+        self.longest.set(self.longest.get().max(serving.catalogue.longest_deadline()));
+        *self.serving.borrow_mut() = Rc::new(serving);
     }
 
-    /// Accepts connections until dropped.
-    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+    /// Accepts connections to a front until dropped.
+    pub async fn accept(self: &Rc<Self>, front: &Rc<str>, listener: &TcpListener) {
         self.listening.set(true);
         loop {
             // A connection that waits in the backlog has been accepted as far as its client can tell, so room
@@ -101,15 +119,15 @@
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let (server, ticket) = (Rc::clone(self), self.open.enter());
+                    let (server, front, ticket) = (Rc::clone(self), Rc::clone(front), self.open.enter());
                     let (wire, view) = Wire::of_client(stream, ticket);
                     tokio::task::spawn_local(async move {
                         let taken = server.seats.enter(view);
-                        server.converse(&taken.seat, wire).await;
+                        server.converse(&front, &taken.seat, wire).await;
                     });
                 }
                 Err(e) => {
-                    log(&format!("cannot accept: {e}"));
+                    tracing::warn!(error = %e, "cannot accept");
                     self.seats.make_room();
                     sleep(ACCEPT_PAUSE).await;
                 }
@@ -148,21 +166,21 @@
 
 impl Shown for Server {
     fn is_ready(&self) -> bool {
-        self.listening.get() && !self.stopping.get() && self.driver.can_decide()
+        self.listening.get() && !self.stopping.get() && self.lanes.can_decide()
     }
 
     fn figures(&self) -> String {
-        self.metrics.render(&self.driver.levels())
+        self.metrics.render(&self.lanes.levels())
     }
 }
 
 impl Server {
-    async fn converse(self: &Rc<Self>, seat: &Rc<Seat>, wire: Wire) {
+    async fn converse(self: &Rc<Self>, front: &Rc<str>, seat: &Rc<Seat>, wire: Wire) {
         let service = service_fn(|request| {
-            let (server, seat) = (Rc::clone(self), Rc::clone(seat));
+            let (server, front, seat) = (Rc::clone(self), Rc::clone(front), Rc::clone(seat));
             async move {
                 seat.begin();
-                let mut answer = server.handle(&seat, request).await;
+                let mut answer = server.handle(&front, &seat, request).await;
                 // Clients that ask once and stay would leave the others none of the connections that all may hold.
                 if server.stopping.get() || server.open.count() > server.limits.get().keep_most {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -205,35 +223,28 @@
     }
 
     /// One request, one answer.
-    async fn handle(&self, seat: &Rc<Seat>, request: Request<Incoming>) -> Response<Reply> {
+    async fn handle(&self, front: &str, seat: &Rc<Seat>, request: Request<Incoming>) -> Response<Reply> {
         if request.uri().path() == "/health/ready" && request.method() == Method::GET {
             let _ = seat.view().next_head();
-            let ready = self.driver.can_decide();
+            let ready = self.lanes.can_decide();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
-        let catalogue = Rc::clone(&self.catalogue.borrow());
-        let checked = match catalogue.check(seat, request) {
+        let serving = Rc::clone(&self.serving.borrow());
+        let checked = match serving.catalogue.check(seat, request) {
             Ok(checked) => checked,
-            Err(fault) => return turned_away(fault, catalogue.retry_after),
+            Err(fault) => return turned_away(fault, None),
         };
         let counters = Rc::clone(&checked.class.counters);
-        let answer = match catalogue.read(seat, checked).await {
-            Ok(taken) => {
-                let upload = taken.call.body.upload().map(Rc::clone);
-                let answer = self.pass_on(seat, taken).await;
-                if let Some(rest) = upload.and_then(|upload| upload.give_up()) {
-                    seat.discard(true);
-                    let seat = Rc::clone(seat);
-                    tokio::task::spawn_local(async move {
-                        rest.discard().await;
-                        seat.discard(false);
-                    });
-                }
-                check_end(seat).and(answer)
+        let lane = serving.lane(front, &checked);
+        let answer = match &lane {
+            Some(lane) => self.read_and_pass_on(seat, &serving.catalogue, lane, checked).await,
+            None => {
+                checked.discard();
+                Err((StatusCode::NOT_FOUND, "no route leads from here"))
             }
-            Err(fault) => Err(fault),
         };
-        let mut answer = answer.unwrap_or_else(|fault| turned_away(fault, catalogue.retry_after));
+        let mut answer =
+            answer.unwrap_or_else(|fault| turned_away(fault, lane.and_then(|lane| lane.body_advice())));
         match answer.body_mut() {
             // It is served once the client has all of it.
             Reply::Passing(passing) => passing.counters = Some(counters),
@@ -242,51 +253,50 @@
         answer
     }
 
-    async fn pass_on(&self, seat: &Rc<Seat>, taken: Taken) -> Result<Response<Reply>, Fault> {
-        let Taken { call, call_id, arrival } = taken;
-        let (budget, mut deadline) = (arrival.budget, arrival.deadline);
-        let upload = call.body.upload().map(Rc::clone);
+    async fn read_and_pass_on(
+        &self,
+        seat: &Rc<Seat>,
+        catalogue: &Catalogue,
+        lane: &Lane,
+        checked: Checked,
+    ) -> Result<Response<Reply>, Fault> {
+        let exchange = catalogue.read(seat, &lane.bodies, checked).await?;
+        let upload = exchange.call.body.upload().map(Rc::clone);
+        let answer = self.pass_on(seat, lane, exchange).await;
+        if let Some(rest) = upload.and_then(|upload| upload.give_up()) {
+            seat.discard(true);
+            let seat = Rc::clone(seat);
+            tokio::task::spawn_local(async move {
+                rest.discard().await;
+                seat.discard(false);
+            });
+        }
+        check_end(seat).and(answer)
+    }
+
+    async fn pass_on(
+        &self,
+        seat: &Rc<Seat>,
+        lane: &Lane,
+        exchange: Exchange<Call>,
+    ) -> Result<Response<Reply>, Fault> {
+        let upload = exchange.call.body.upload().map(Rc::clone);
         let mut in_flight = None;
-        if deadline.is_some() {
+        let mut whole = || {
             seat.take();
             in_flight = Some(self.metrics.take());
-        }
-        let Some((id, answer)) = self.driver.submit(call, call_id, arrival) else {
-            return Err((StatusCode::CONFLICT, "X-Call-Id is in use"));
         };
+        if exchange.deadline.is_some() {
+            whole();
+        }
         // Dropped by hyper with this future when the client closes its connection.
-        let pending = Pending { driver: self.driver.clone(), id };
-        let mut answer = pin!(answer);
-        let answer = loop {
-            let late = async {
-                match (deadline, &upload) {
-                    (Some(at), _) => {
-                        sleep_until(at - ANSWER_RESERVE.min(at.saturating_duration_since(Instant::now())))
-                            .await;
-                        None
-                    }
-                    (None, Some(upload)) => Some(upload.ended().await),
-                    (None, None) => None,
-                }
-            };
-            tokio::select! {
-                biased;
-                answer = answer.as_mut() => break Some(answer),
-                ended = late => match ended {
-                    Some(Coming::Whole(at)) => {
-                        deadline = Some(at + budget);
-                        seat.take();
-                        in_flight = Some(self.metrics.take());
-                        self.driver.arrived(id, at + budget);
-                    }
-                    Some(Coming::Broken(broken)) => return Err(fault_of(broken)),
-                    Some(Coming::More) | None => break None,
-                },
-            }
+        let owed = match lane.pool.submit(exchange) {
+            Ok(owed) => owed,
+            Err(Declined::NameInUse) => return Err((StatusCode::CONFLICT, "X-Call-Id is in use")),
+            Err(declined) => return Ok(refused(lane.advice(declined))),
         };
-        drop(pending);
-        Ok(match answer {
-            Some(Ok(Answer::Served(served))) => {
+        Ok(match owed.answer(whole).await {
+            Final::Served(served) => {
                 let body = match served.body {
                     Content::Held(bytes, portion) => Reply::Held(Full::new(bytes), Some(portion)),
                     Content::Coming(download) => {
@@ -307,10 +317,13 @@
                 }
                 answer
             }
-            Some(Ok(Answer::Refused(retry_after))) => refused(retry_after),
-            Some(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed"),
-            // The promise of one answer in time does not hang on the module.
-            None => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
+            Final::Refused(retry_after) => refused(retry_after),
+            Final::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
+            Final::OutOfTime => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
+            Final::Unfinished => match upload.map(|upload| upload.state()) {
+                Some(Coming::Broken(broken)) => return Err(fault_of(broken)),
+                _ => return Err(fault_of(Broken::Unreadable)),
+            },
         })
     }
 }
@@ -373,18 +386,6 @@
     }
 }
 
-/// A request that waits for its answer; told to the driver when nobody waits any more.
-struct Pending {
-    driver: Driver,
-    id: RequestId,
-}
-
-impl Drop for Pending {
-    fn drop(&mut self) {
-        self.driver.abandon(self.id);
-    }
-}
-
 /// The one point where a request's final answer is counted, as the protocol words it.
 fn count(counters: &ClassCounters, status: StatusCode) {
     match status {
--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -2,6 +2,7 @@
 //! a backend as it comes, no faster than that backend takes it.
 
 use bytes::Bytes;
+use heronhoist_engine::Arriving;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -189,6 +190,30 @@
     }
 }
 
+impl Arriving for Upload {
+    fn state(&self) -> heronhoist_engine::Coming {
+        Upload::state(self).into()
+    }
+
+    fn is_spent(&self) -> bool {
+        Upload::is_spent(self)
+    }
+
+    fn ended(&self) -> Pin<Box<dyn Future<Output = heronhoist_engine::Coming> + '_>> {
+        Box::pin(async { Upload::ended(self).await.into() })
+    }
+}
+
+impl From<Coming> for heronhoist_engine::Coming {
+    fn from(coming: Coming) -> Self {
+        match coming {
+            Coming::More => heronhoist_engine::Coming::More,
+            Coming::Whole(at) => heronhoist_engine::Coming::Whole(at),
+            Coming::Broken(_) => heronhoist_engine::Coming::Broken,
+        }
+    }
+}
+
 /// The body of a request that is passed on.
 #[derive(Clone)]
 pub enum Payload {
--- a/crates/agent/src/wire.rs
+++ b/crates/agent/src/wire.rs
@@ -4,6 +4,7 @@
 use crate::head::{Framing, Requests};
 use crate::metrics::ClassCounters;
 use hyper::rt::{Read, ReadBufCursor, Write};
+use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
@@ -24,32 +25,6 @@
     static BETWEEN: RefCell<[u8; CHUNK]> = const { RefCell::new([0; CHUNK]) };
 }
 
-/// Counts the connections of one side that are open.
-#[derive(Clone, Default)]
-pub struct Gauge(Rc<Cell<usize>>);
-
-impl Gauge {
-    /// How many are open.
-    pub fn count(&self) -> usize {
-        self.0.get()
-    }
-
-    /// Counts one more until the ticket is dropped.
-    pub fn enter(&self) -> Ticket {
-        self.0.set(self.0.get() + 1);
-        Ticket(self.clone())
-    }
-}
-
-/// One open connection in a [`Gauge`].
-pub struct Ticket(Gauge);
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        self.0 .0.set(self.0.count().saturating_sub(1));
-    }
-}
-
 /// What a connection tells of itself.
 #[derive(Default)]
 struct Meter {
@@ -182,26 +157,28 @@
 pub struct Wire {
     stream: Rc<TcpStream>,
     meter: Rc<Meter>,
-    _ticket: Ticket,
+    /// Given back when the connection ends, whatever it is.
+    _held: Box<dyn Any>,
 }
 
 impl Wire {
-    /// Wraps a stream to a backend or to discovery; small messages go out at once.
-    pub fn new(stream: TcpStream, ticket: Ticket) -> (Wire, View) {
-        Wire::with(stream, ticket, Meter::default())
+    /// Wraps a stream to a backend or to discovery; small messages go out at once. What is `held` is given back when
+    /// the connection ends.
+    pub fn new(stream: TcpStream, held: impl Any) -> (Wire, View) {
+        Wire::with(stream, Box::new(held), Meter::default())
     }
 
     /// Wraps a client's stream, and looks at the heads of its requests.
-    pub fn of_client(stream: TcpStream, ticket: Ticket) -> (Wire, View) {
-        Wire::with(stream, ticket, Meter { requests: Some(RefCell::default()), ..Meter::default() })
+    pub fn of_client(stream: TcpStream, held: impl Any) -> (Wire, View) {
+        Wire::with(stream, Box::new(held), Meter { requests: Some(RefCell::default()), ..Meter::default() })
     }
 
-    fn with(stream: TcpStream, ticket: Ticket, meter: Meter) -> (Wire, View) {
+    fn with(stream: TcpStream, held: Box<dyn Any>, meter: Meter) -> (Wire, View) {
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER);
         let (stream, meter) = (Rc::new(stream), Rc::new(meter));
         let view = View { stream: Rc::downgrade(&stream), meter: Rc::clone(&meter) };
-        (Wire { stream, meter, _ticket: ticket }, view)
+        (Wire { stream, meter, _held: held }, view)
     }
 }
 
--- /dev/null
+++ b/crates/engine/src/clock.rs
@@ -0,0 +1,30 @@
+//! The clock of a pool.
+
+use heronhoist_decision::Time;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// Unix time in microseconds, fixed once and then advanced by the monotonic clock: it can be compared with the
+/// times in the list and never steps back.
+pub(crate) struct Clock {
+    unix_us: u64,
+    start: Instant,
+}
+
+impl Clock {
+    pub(crate) fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix_us: unix.as_micros() as u64, start: Instant::now() }
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        Time(self.unix_us + self.start.elapsed().as_micros() as u64)
+    }
+
+    pub(crate) fn instant(&self, time: Time) -> Instant {
+        // A day is as good as never, and can't overflow.
+        let ahead =
+            time.since(Time(self.unix_us)).0.min(self.now().since(Time(self.unix_us)).0 + 86_400_000_000);
+        self.start + Duration::from_micros(ahead)
+    }
+}
--- /dev/null
+++ b/crates/engine/src/membership.rs
@@ -0,0 +1,234 @@
+//! Which servers there are: lists with versions, from whoever knows.
+
+use heronhoist_decision::Time;
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use tokio::sync::{watch, Notify};
+
+/// The states of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// Takes requests.
+    Serving,
+    /// Finishes what it has.
+    Draining,
+    /// Has left.
+    Gone,
+}
+
+/// A line of a list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member<A> {
+    /// The server's name; another name is another server, whatever its address.
+    pub name: String,
+    /// Where it is reached.
+    pub address: A,
+    /// The name of its zone.
+    pub zone: String,
+    /// The name of its kind of machine.
+    pub kind: String,
+    /// The group of servers that drop each other's repeats.
+    pub cell: u32,
+    /// What it does at present.
+    pub state: State,
+    /// Its size among the others, if the list says.
+    pub weight: Option<f64>,
+    /// When it last started, if that was lately.
+    pub started: Option<Time>,
+}
+
+impl<A> Member<A> {
+    /// A server that serves, in no zone, kind or cell of its own.
+    pub fn serving(name: &str, address: A) -> Self {
+        let (zone, kind) = (String::new(), String::new());
+        let (cell, weight, started) = (0, None, None);
+        Member { name: name.into(), address, zone, kind, cell, state: State::Serving, weight, started }
+    }
+}
+
+/// A list, or what has changed of one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct List<A> {
+    /// Grows with each change at the source.
+    pub version: i64,
+    /// This is all of it: what it leaves out has left.
+    pub whole: bool,
+    /// Its lines.
+    pub members: Vec<Member<A>>,
+}
+
+/// What a pool does with what its membership says.
+pub trait Heard<A> {
+    /// A list has come, no older than the one before it.
+    fn listed(&self, list: List<A>);
+    /// What the module had asked for could not be had.
+    fn failed(&self);
+}
+
+/// What the module wants of its membership.
+#[derive(Default)]
+pub(crate) struct Wants {
+    following: watch::Sender<bool>,
+    fetch: Notify,
+}
+
+impl Wants {
+    pub(crate) fn follow(&self, active: bool) {
+        self.following.send_replace(active);
+    }
+
+    pub(crate) fn fetch(&self) {
+        self.fetch.notify_one();
+    }
+}
+
+/// The way from a membership to its pool. It lets no list pass that is older than one that has passed before, so that
+/// no decision rests on one.
+pub struct Feed<A> {
+    to: Rc<dyn Heard<A>>,
+    wants: Rc<Wants>,
+    version: Cell<Option<i64>>,
+}
+
+impl<A> Feed<A> {
+    pub(crate) fn new(to: Rc<dyn Heard<A>>, wants: Rc<Wants>, version: Option<i64>) -> Self {
+        Feed { to, wants, version: Cell::new(version) }
+    }
+
+    /// The version of the list that stands; `None` before the first of a source.
+    pub fn version(&self) -> Option<i64> {
+        self.version.get()
+    }
+
+    /// What comes from now on is another source's, whose versions have nothing to do with those before.
+    pub fn new_source(&self) {
+        self.version.set(None);
+    }
+
+    /// Hands a list over; false if it is older than one that stands, and so was left out.
+    pub fn listed(&self, list: List<A>) -> bool {
+        if self.version.get().is_some_and(|stands| list.version < stands) {
+            tracing::warn!(
+                target: "heronhoist::membership",
+                version = list.version,
+                stands = self.version.get(),
+                "an older list was left out"
+            );
+            return false;
+        }
+        self.version.set(Some(list.version));
+        self.to.listed(list);
+        true
+    }
+
+    /// What the module had asked for could not be had.
+    pub fn failed(&self) {
+        self.to.failed();
+    }
+
+    /// The list can't be followed any more; it is not, until the module says so again.
+    pub fn lost(&self) {
+        self.wants.follow(false);
+        self.to.failed();
+    }
+
+    /// Follows the list from now on, whatever the module says: for a source that sends by itself.
+    pub fn follow(&self) {
+        self.wants.follow(true);
+    }
+
+    /// Comes back once the module follows the list, or does not any more.
+    pub async fn followed(&self, active: bool) {
+        let _ = self.wants.following.subscribe().wait_for(|following| *following == active).await;
+    }
+
+    /// Comes back once the module asks for the whole list.
+    pub async fn asked(&self) {
+        self.wants.fetch.notified().await;
+    }
+}
+
+/// A source of lists. It runs for as long as its pool does, and hands over what it hears.
+pub trait Membership<A> {
+    /// Runs until dropped.
+    fn run(self: Box<Self>, feed: Feed<A>) -> Pin<Box<dyn Future<Output = ()>>>;
+}
+
+/// A list that only its owner changes, such as one in a file.
+pub struct Fixed<A>(watch::Receiver<Vec<Member<A>>>);
+
+impl<A: Clone + PartialEq> Fixed<A> {
+    /// Follows whatever the sender says.
+    pub fn new(members: watch::Receiver<Vec<Member<A>>>) -> Self {
+        Fixed(members)
+    }
+}
+
+impl<A: Clone + 'static> Membership<A> for Fixed<A> {
+    fn run(mut self: Box<Self>, feed: Feed<A>) -> Pin<Box<dyn Future<Output = ()>>> {
+        Box::pin(async move {
+            loop {
+                let version = feed.version().unwrap_or(0) + 1;
+                let members = self.0.borrow_and_update().clone();
+                feed.listed(List { version, whole: true, members });
+                tokio::select! {
+                    changed = self.0.changed() => if changed.is_err() { std::future::pending::<()>().await },
+                    () = feed.asked() => {}
+                }
+            }
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::RefCell;
+
+    #[derive(Default)]
+    struct Notes(RefCell<Vec<(i64, usize)>>, Cell<u32>);
+
+    impl Heard<u16> for Notes {
+        fn listed(&self, list: List<u16>) {
+            self.0.borrow_mut().push((list.version, list.members.len()));
+        }
+        fn failed(&self) {
+            self.1.set(self.1.get() + 1);
+        }
+    }
+
+    /// A watch and a fetch can cross: whatever is older than what stands must not undo a drain.
+    #[test]
+    fn an_older_list_does_not_pass_but_another_sources_does() {
+        let notes = Rc::new(Notes::default());
+        let feed = Feed::new(Rc::clone(&notes) as Rc<dyn Heard<u16>>, Rc::default(), Some(5));
+        let list = |version| List { version, whole: true, members: vec![Member::serving("a", 1)] };
+        assert!(
+            !feed.listed(list(4)) && feed.listed(list(5)) && feed.listed(list(9)) && !feed.listed(list(8))
+        );
+        feed.new_source();
+        assert!(feed.listed(list(2)) && !feed.listed(list(1)));
+        assert_eq!(*notes.0.borrow(), [(5, 1), (9, 1), (2, 1)]);
+        feed.failed();
+        assert_eq!(notes.1.get(), 1);
+    }
+
+    #[tokio::test]
+    async fn a_fixed_list_is_told_at_once_and_at_each_change() {
+        let notes = Rc::new(Notes::default());
+        let feed = Feed::new(Rc::clone(&notes) as Rc<dyn Heard<u16>>, Rc::default(), None);
+        let (tell, told) = watch::channel(vec![Member::serving("a", 1)]);
+        let run = Box::new(Fixed::new(told)).run(feed);
+        let change = async {
+            tokio::task::yield_now().await;
+            tell.send_replace(vec![Member::serving("a", 1), Member::serving("b", 2)]);
+            while notes.0.borrow().len() < 2 {
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::select! { () = run => unreachable!(), () = change => {} }
+        assert_eq!(*notes.0.borrow(), [(1, 1), (2, 2)]);
+    }
+}
--- /dev/null
+++ b/crates/engine/src/pool.rs
@@ -0,0 +1,766 @@
+//! One fleet of servers and the requests that are under way to it: owns the decision module, turns what happens into
+//! events, and carries out the actions.
+
+use crate::clock::Clock;
+use crate::membership::{Feed, Heard, List, Membership, Wants};
+use crate::quota::{Part, Portion};
+use crate::servers::{ServerNames, Servers};
+use crate::upstream::{Coming, Ended, Gate, Payload, Place, Upstream};
+use heronhoist_decision::*;
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{oneshot, watch, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// A client that hears nothing from the module gets its answer this long before it stops waiting.
+pub const ANSWER_RESERVE: Duration = Duration::from_millis(6);
+/// No attempt is waited for longer than until this before the client's deadline, so that the module can still
+/// word the final answer, and that can still arrive.
+const ATTEMPT_RESERVE: Duration = Duration::from_millis(15);
+/// How long after the drain's grace a server that is gone is still known: whatever was decided before has gone by then.
+const FORGET_AFTER: Duration = Duration::from_secs(1);
+/// How often connections that have rested long enough, and servers that have left, are looked for.
+const RETIRE_EVERY: Duration = Duration::from_millis(500);
+/// When to come back to a pool that has not been told of any server, or has no room: a list takes about so long.
+const COME_BACK: Span = Span(250_000);
+
+/// The final answer to a client.
+#[derive(Debug)]
+pub enum Final<A> {
+    /// A server's answer.
+    Served(A),
+    /// Not run, or harmless to repeat; with the time to come back after, if the module gives one.
+    Refused(Option<Span>),
+    /// No promise about the effect.
+    Failed,
+    /// The client's time is up and the module has said nothing; no promise about the effect.
+    OutOfTime,
+    /// The request did not come whole, so nothing is owed to it.
+    Unfinished,
+}
+
+/// A request that a front hands over.
+#[derive(Debug)]
+pub struct Exchange<C> {
+    /// The request itself.
+    pub call: C,
+    /// The client's name for it, where servers tell requests by name: it must be the only one under way.
+    pub name: Option<Rc<[u8]>>,
+    /// Its class.
+    pub class: ClassId,
+    /// Whose it is.
+    pub tenant: Option<TenantId>,
+    /// What it concerns.
+    pub key: Option<KeyId>,
+    /// A guess at its work.
+    pub cost_hint: Option<Span>,
+    /// The client says that it repeats an earlier one.
+    pub repeat: bool,
+    /// How long the client waits once the request is whole.
+    pub budget: Duration,
+    /// When the client stops waiting; `None` while more of the request is to come.
+    pub deadline: Option<Instant>,
+}
+
+/// Why a request was not taken. Nothing of it has been sent; the front answers at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Declined {
+    /// One with its name is still under way, or an attempt of it: servers could not tell the two apart.
+    NameInUse,
+    /// The pool has not been told of any server yet.
+    NoList(Span),
+    /// The pool holds as many requests as it may.
+    Full(Span),
+    /// The pool takes nothing new any more.
+    Closed(Span),
+}
+
+impl Declined {
+    /// When a new try makes sense, if it does.
+    pub fn come_back(self) -> Option<Span> {
+        match self {
+            Declined::NameInUse => None,
+            Declined::NoList(after) | Declined::Full(after) | Declined::Closed(after) => Some(after),
+        }
+    }
+}
+
+/// What a pool is at the moment of asking.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Levels {
+    /// Servers in the list.
+    pub known: usize,
+    /// Those of them that the module avoids at present.
+    pub excluded: usize,
+    /// Requests taken that still owe their answer, or have an attempt out.
+    pub open: usize,
+}
+
+/// What a pool is made from.
+pub struct Setup<U: Upstream> {
+    /// For the log.
+    pub name: String,
+    /// What the module is told.
+    pub settings: Settings,
+    /// For the module's draws.
+    pub seed: u64,
+    /// What the settings' numbers of zones and kinds mean.
+    pub names: ServerNames,
+    /// The list as it was last known; it may be old.
+    pub known: Option<List<U::Address>>,
+    /// Whether the source's versions go on from that list's.
+    pub known_stands: bool,
+    /// Speaks to the servers.
+    pub upstream: U,
+    /// How many requests the pool may owe an answer.
+    pub requests: Rc<Part>,
+}
+
+/// A request that has attempts out or still owes its answer.
+struct Open<U: Upstream> {
+    call: Rc<U::Call>,
+    name: Option<Rc<[u8]>>,
+    /// When the client stops waiting; `None` while more of the request is to come.
+    deadline: Option<Instant>,
+    budget: Duration,
+    /// Where its final answer goes, and its place among those that are owed one. Gone once it has that answer or its
+    /// client has left.
+    reply: Option<(oneshot::Sender<Final<U::Answer>>, Portion)>,
+    attempts: u32,
+    /// How many the settings allowed when it came.
+    max_attempts: u32,
+    /// What calls off the attempts that are out.
+    out: HashMap<u32, Option<oneshot::Sender<()>>>,
+}
+
+struct Core<U: Upstream> {
+    balancer: Balancer,
+    open: HashMap<RequestId, Open<U>>,
+    names: HashSet<Rc<[u8]>>,
+    next_request: u64,
+    timers: BinaryHeap<Reverse<(Time, u64)>>,
+    servers: Servers<U::Address>,
+}
+
+struct Inner<U: Upstream> {
+    name: String,
+    clock: Clock,
+    core: RefCell<Core<U>>,
+    timers_changed: Notify,
+    /// A list has been taken, be it an old one; and its source has answered at least once.
+    has_list: Cell<bool>,
+    heard: watch::Sender<bool>,
+    closed: watch::Sender<bool>,
+    emptied: Notify,
+    upstream: U,
+    wants: Rc<Wants>,
+    /// The version that the source's first list must not be older than.
+    version: Option<i64>,
+    requests: Rc<Part>,
+    max_attempts: Cell<u32>,
+    drain_grace: Cell<Duration>,
+}
+
+/// A handle to a pool.
+pub struct Pool<U: Upstream>(Rc<Inner<U>>);
+
+impl<U: Upstream> Clone for Pool<U> {
+    fn clone(&self) -> Self {
+        Pool(Rc::clone(&self.0))
+    }
+}
+
+impl<U: Upstream> Pool<U> {
+    /// Starts a module with the list as it was last known. Nothing runs by itself until [`Pool::run`] does.
+    pub fn new(setup: Setup<U>) -> Result<Self, SettingsError> {
+        let Setup { name, settings, seed, names, known, known_stands, upstream, requests } = setup;
+        let max_attempts = Cell::new(settings.max_attempts);
+        let drain_grace = Cell::new(Duration::from_micros(settings.drain_grace.0));
+        let core = Core {
+            balancer: Balancer::new(settings, seed)?,
+            open: HashMap::new(),
+            names: HashSet::new(),
+            next_request: 0,
+            timers: BinaryHeap::new(),
+            servers: Servers::new(&names),
+        };
+        let version = known.as_ref().filter(|_| known_stands).map(|list| list.version);
+        let pool = Pool(Rc::new(Inner {
+            name,
+            clock: Clock::new(),
+            core: RefCell::new(core),
+            timers_changed: Notify::new(),
+            has_list: Cell::new(known.is_some()),
+            heard: watch::Sender::new(false),
+            closed: watch::Sender::new(false),
+            emptied: Notify::new(),
+            upstream,
+            wants: Rc::default(),
+            version,
+            requests,
+            max_attempts,
+            drain_grace,
+        }));
+        let mut actions = Vec::new();
+        pool.0.core.borrow_mut().balancer.start(pool.0.clock.now(), &mut actions);
+        pool.perform(actions);
+        if let Some(known) = known {
+            let lines = pool.take_list(known);
+            pool.tell(Event::List(ListUpdate::Saved(lines)));
+        }
+        Ok(pool)
+    }
+
+    /// Runs timers, follows the membership and looks after idle connections, until the pool is [closed](Pool::close)
+    /// and its last request and attempt have ended.
+    pub async fn run(self, membership: Box<dyn Membership<U::Address>>) {
+        let heard: Rc<dyn Heard<U::Address>> = Rc::new(self.clone());
+        let feed = Feed::new(heard, Rc::clone(&self.0.wants), self.0.version);
+        let retire = async {
+            loop {
+                sleep(RETIRE_EVERY).await;
+                let core = &mut *self.0.core.borrow_mut();
+                // A connection that was at work when its server was told to drain, moved or left comes back after.
+                self.0.upstream.retire(&|server, life| core.servers.is_current(server, life));
+                core.servers.forget(self.0.drain_grace.get() + FORGET_AFTER);
+            }
+        };
+        let follow = async {
+            membership.run(feed).await;
+            // What was heard last stands.
+            std::future::pending::<()>().await;
+        };
+        let over = async {
+            let _ = self.0.closed.subscribe().wait_for(|closed| *closed).await;
+            while !self.0.core.borrow().open.is_empty() {
+                self.0.emptied.notified().await;
+            }
+        };
+        tokio::select! {
+            () = self.run_timers() => {}
+            () = follow => {}
+            () = retire => {}
+            () = over => {}
+        }
+    }
+
+    async fn run_timers(&self) {
+        loop {
+            let next = self.0.core.borrow().timers.peek().map(|Reverse((at, _))| *at);
+            match next {
+                None => self.0.timers_changed.notified().await,
+                Some(at) => tokio::select! {
+                    () = sleep_until(self.0.clock.instant(at)) => {}
+                    () = self.0.timers_changed.notified() => continue,
+                },
+            }
+            while let Some(timer) = self.pop_due() {
+                self.tell(Event::Timer(timer));
+            }
+        }
+    }
+
+    fn pop_due(&self) -> Option<TimerId> {
+        let mut core = self.0.core.borrow_mut();
+        let Reverse((at, _)) = *core.timers.peek()?;
+        (at <= self.0.clock.now()).then(|| core.timers.pop().map(|Reverse((_, id))| TimerId(id)))?
+    }
+
+    /// What it is called.
+    pub fn name(&self) -> &str {
+        &self.0.name
+    }
+
+    /// What speaks to its servers.
+    pub fn upstream(&self) -> &U {
+        &self.0.upstream
+    }
+
+    /// True if there is a server to send to.
+    pub fn can_decide(&self) -> bool {
+        self.0.core.borrow().servers.any_serving()
+    }
+
+    /// Comes back once the membership's source has answered.
+    pub async fn heard(&self) {
+        let _ = self.0.heard.subscribe().wait_for(|heard| *heard).await;
+    }
+
+    /// Takes nothing new from now on; what is under way ends under the rules that it began with.
+    pub fn close(&self) {
+        self.0.closed.send_replace(true);
+    }
+
+    /// New settings, with the numbers of their classes and the names of their zones. Requests under way keep what they
+    /// came with.
+    pub fn revise(&self, settings: Settings, classes: Vec<ClassId>, zones: &[String]) {
+        self.0.max_attempts.set(settings.max_attempts);
+        self.0.drain_grace.set(Duration::from_micros(settings.drain_grace.0));
+        // The list's lines are numbered as the first settings named the zones.
+        let zone =
+            zones.get(settings.zone.0 as usize).map(|name| self.0.core.borrow_mut().servers.zone(name));
+        let settings = Settings { zone: zone.unwrap_or(settings.zone), ..settings };
+        self.tell(Event::Settings { settings: Box::new(settings), classes });
+    }
+
+    /// What it is now.
+    pub fn levels(&self) -> Levels {
+        let core = self.0.core.borrow();
+        let excluded = core.balancer.excluded(self.0.clock.now());
+        Levels { known: core.servers.known(), excluded, open: core.open.len() }
+    }
+
+    // ---- events -------------------------------------------------------------------------------------
+
+    /// Hands an event to the module and carries out what it decides. A panic of the module costs that event and no
+    /// more: the requests that it forgets are answered at their deadline.
+    fn tell(&self, event: Event) {
+        let mut actions = Vec::new();
+        let now = self.0.clock.now();
+        let run = catch_unwind(AssertUnwindSafe(|| {
+            self.0.core.borrow_mut().balancer.handle(now, event, &mut actions);
+        }));
+        if run.is_err() {
+            tracing::error!(target: "heronhoist::engine", pool = self.0.name, "the decision module has panicked; going on");
+        }
+        self.perform(actions);
+    }
+
+    /// Takes a request in. It is owed one final answer from here on, unless what is returned is dropped first.
+    pub fn submit(&self, exchange: Exchange<U::Call>) -> Result<Owed<U>, Declined> {
+        let Exchange { call, name, class, tenant, key, cost_hint, repeat, budget, deadline } = exchange;
+        if *self.0.closed.borrow() {
+            return Err(Declined::Closed(COME_BACK));
+        }
+        if !self.0.has_list.get() {
+            return Err(Declined::NoList(COME_BACK));
+        }
+        let (reply, answer) = oneshot::channel();
+        let call = Rc::new(call);
+        let id = {
+            let mut core = self.0.core.borrow_mut();
+            if name.as_ref().is_some_and(|name| core.names.contains(name)) {
+                return Err(Declined::NameInUse);
+            }
+            let portion = self.0.requests.take(1).ok_or(Declined::Full(COME_BACK))?;
+            core.names.extend(name.clone());
+            let id = RequestId(core.next_request);
+            core.next_request += 1;
+            let open = Open {
+                call: Rc::clone(&call),
+                name,
+                deadline,
+                budget,
+                reply: Some((reply, portion)),
+                attempts: 0,
+                max_attempts: self.0.max_attempts.get(),
+                out: HashMap::new(),
+            };
+            core.open.insert(id, open);
+            id
+        };
+        let left = deadline.map_or(budget, |at| at.saturating_duration_since(Instant::now()));
+        self.tell(Event::Request(Request {
+            id,
+            class,
+            tenant,
+            key,
+            cost_hint,
+            repeat,
+            time_left: Span(left.as_micros() as u64),
+            arriving: deadline.is_none(),
+        }));
+        Ok(Owed { pool: self.clone(), id, answer, call, budget, deadline })
+    }
+
+    /// The last of a request has come: its client waits until `deadline`.
+    fn arrived(&self, id: RequestId, deadline: Instant) {
+        if let Some(open) = self.0.core.borrow_mut().open.get_mut(&id) {
+            open.deadline = Some(deadline);
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        self.tell(Event::Arrived { request: id, time_left: Span(left.as_micros() as u64) });
+    }
+
+    /// Nothing is owed to a request any more: its client has gone, or its time is up.
+    fn abandon(&self, id: RequestId) {
+        let owed = self.0.core.borrow_mut().open.get_mut(&id).is_some_and(|o| o.reply.take().is_some());
+        if owed {
+            self.tell(Event::ClientGone { request: id });
+            self.forget_ended(id);
+        }
+    }
+
+    /// An attempt is over: a served request has its answer at once, whatever the module thinks of it.
+    fn attempt_over(
+        &self,
+        (id, attempt, server): (RequestId, u32, ServerId),
+        sent: Instant,
+        ended: Ended<U::Answer>,
+    ) {
+        let (closed, spent, since) = {
+            let mut core = self.0.core.borrow_mut();
+            let Some(open) = core.open.get_mut(&id) else { return };
+            open.out.remove(&attempt);
+            if let Some((answer, (reply, _))) = ended.answer.and_then(|a| Some((a, open.reply.take()?))) {
+                let _ = reply.send(Final::Served(answer));
+            }
+            let arriving = open.call.arriving();
+            let spent = arriving.is_some_and(|arriving| arriving.is_spent());
+            let since = match arriving.map(|arriving| arriving.state()) {
+                Some(Coming::Whole(at)) => at.max(sent),
+                _ => sent,
+            };
+            (open.reply.is_none(), spent, since)
+        };
+        tracing::debug!(
+            target: "heronhoist::attempt",
+            pool = self.0.name,
+            request = id.0,
+            attempt,
+            server = server.0,
+            outcome = ?ended.outcome,
+            elapsed_us = since.elapsed().as_micros() as u64,
+            "attempt ended"
+        );
+        self.tell(Event::Outcome {
+            request: id,
+            attempt: AttemptNo(attempt),
+            outcome: ended.outcome,
+            elapsed: Span(since.elapsed().as_micros() as u64),
+            report: ended.report,
+            closed,
+            spent,
+        });
+        self.forget_ended(id);
+    }
+
+    fn forget_ended(&self, id: RequestId) {
+        let mut core = self.0.core.borrow_mut();
+        if core.open.get(&id).is_some_and(|o| o.reply.is_none() && o.out.is_empty()) {
+            if let Some(name) = core.open.remove(&id).and_then(|open| open.name) {
+                core.names.remove(&name);
+            }
+            if core.open.is_empty() {
+                self.0.emptied.notify_one();
+            }
+        }
+    }
+
+    // ---- actions ------------------------------------------------------------------------------------
+
+    fn perform(&self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { request, server, timeout_at } => self.send(request, server, timeout_at),
+                Action::Cancel { request, attempt } => {
+                    // It stays listed as out: its request must not be forgotten before its outcome is told.
+                    let mut core = self.0.core.borrow_mut();
+                    let out = core.open.get_mut(&request).and_then(|o| o.out.get_mut(&attempt.0));
+                    if let Some(cancel) = out.and_then(Option::take) {
+                        let _ = cancel.send(());
+                    }
+                }
+                Action::Refuse { request, retry_after } => self.answer(request, Final::Refused(retry_after)),
+                Action::Fail { request } => self.answer(request, Final::Failed),
+                Action::SetTimer { at, timer } => {
+                    self.0.core.borrow_mut().timers.push(Reverse((at, timer.0)));
+                    self.0.timers_changed.notify_one();
+                }
+                Action::Probe { server } => self.probe(server),
+                Action::CloseIdle { server } => self.0.upstream.close_idle(server),
+                Action::Follow { active } => self.0.wants.follow(active),
+                Action::FetchList => self.0.wants.fetch(),
+                Action::Log { text } => {
+                    tracing::info!(target: "heronhoist::decision", pool = self.0.name, "{text}");
+                }
+                // The module sends no messages to other agents.
+                Action::Tell { .. } => {}
+            }
+        }
+    }
+
+    fn answer(&self, id: RequestId, answer: Final<U::Answer>) {
+        if let Some((reply, _)) = self.0.core.borrow_mut().open.get_mut(&id).and_then(|o| o.reply.take()) {
+            let _ = reply.send(answer);
+        }
+        self.forget_ended(id);
+    }
+
+    fn send(&self, id: RequestId, server: ServerId, timeout_at: Time) {
+        let now = Instant::now();
+        let mut core = self.0.core.borrow_mut();
+        let core = &mut *core;
+        let Some(open) = core.open.get_mut(&id) else { return };
+        let attempt = open.attempts;
+        open.attempts += 1;
+        let (cancel, cancelled) = oneshot::channel();
+        open.out.insert(attempt, Some(cancel));
+        // Nothing is sent for a request that has its answer, nor beyond the attempts or the time it has.
+        let latest = open.deadline.map(|deadline| deadline - ATTEMPT_RESERVE);
+        let until = self.0.clock.instant(timeout_at);
+        let until = latest.map_or(until, |latest| until.min(latest));
+        let lawful = open.reply.is_some() && attempt < open.max_attempts && until > now;
+        let place = if lawful { core.servers.enter(server) } else { None };
+        let (pool, call, budget) = (self.clone(), Rc::clone(&open.call), open.budget);
+        spawn_local(async move {
+            let ended = match place {
+                Some(place) => {
+                    let ended = pool.attempt(place, &call, until, budget, cancelled).await;
+                    pool.0.core.borrow_mut().servers.leave(server);
+                    ended
+                }
+                None => Outcome::NotSent.into(),
+            };
+            pool.attempt_over((id, attempt, server), now, ended);
+        });
+    }
+
+    async fn attempt(
+        &self,
+        place: Place<U::Address>,
+        call: &U::Call,
+        until: Instant,
+        budget: Duration,
+        cancelled: oneshot::Receiver<()>,
+    ) -> Ended<U::Answer> {
+        let (sent, server) = (Cell::new(false), place.server);
+        let lawful = || self.0.core.borrow().servers.may_send(server, self.0.drain_grace.get());
+        let gate = Gate { sent: &sent, lawful: &lawful, until };
+        let exchange = self.0.upstream.attempt(place, call, gate);
+        let late = async {
+            match call.arriving() {
+                Some(arriving) => match arriving.ended().await {
+                    Coming::Whole(at) => sleep_until((at + budget - ATTEMPT_RESERVE).min(until)).await,
+                    // The exchange sees that too, and knows what it means.
+                    Coming::More | Coming::Broken => std::future::pending().await,
+                },
+                None => sleep_until(until).await,
+            }
+        };
+        let in_time = async {
+            tokio::select! {
+                ended = exchange => Ok(ended),
+                () = late => Err(()),
+            }
+        };
+        tokio::select! {
+            ended = in_time => match ended {
+                Ok(ended) => ended,
+                Err(()) if sent.get() => Outcome::TimedOut.into(),
+                // The time was used up by waiting for a connection.
+                Err(()) => Outcome::NotSent.into(),
+            },
+            Ok(()) = cancelled => Outcome::Cancelled.into(),
+        }
+    }
+
+    fn probe(&self, server: ServerId) {
+        let place = self.0.core.borrow_mut().servers.enter(server);
+        let (pool, sent) = (self.clone(), Instant::now());
+        spawn_local(async move {
+            let ended = match place {
+                Some(place) => {
+                    let ended = pool.0.upstream.probe(place).await;
+                    pool.0.core.borrow_mut().servers.leave(server);
+                    ended
+                }
+                // The module waits for an answer to each probe.
+                None => Outcome::NotSent.into(),
+            };
+            let elapsed = Span(sent.elapsed().as_micros() as u64);
+            pool.tell(Event::Probed { server, outcome: ended.outcome, elapsed, report: ended.report });
+        });
+    }
+
+    fn take_list(&self, list: List<U::Address>) -> Vec<Listed> {
+        let upstream = &self.0.upstream;
+        self.0.core.borrow_mut().servers.take(list, |server| upstream.close_idle(server))
+    }
+}
+
+impl<U: Upstream> Heard<U::Address> for Pool<U> {
+    fn listed(&self, list: List<U::Address>) {
+        let whole = list.whole;
+        let lines = self.take_list(list);
+        self.tell(Event::List(if whole { ListUpdate::Complete(lines) } else { ListUpdate::Changes(lines) }));
+        self.0.has_list.set(true);
+        self.0.heard.send_replace(true);
+    }
+
+    fn failed(&self) {
+        self.tell(Event::List(ListUpdate::Failed));
+    }
+}
+
+/// A request that is owed its final answer. Dropped before that, its client counts as gone.
+pub struct Owed<U: Upstream> {
+    pool: Pool<U>,
+    id: RequestId,
+    answer: oneshot::Receiver<Final<U::Answer>>,
+    call: Rc<U::Call>,
+    budget: Duration,
+    deadline: Option<Instant>,
+}
+
+impl<U: Upstream> Owed<U> {
+    /// The one final answer, no later than [`ANSWER_RESERVE`] before the client stops waiting: that promise does not
+    /// hang on the module. `whole` is called when the last of a request has come that was submitted before that.
+    pub async fn answer(mut self, mut whole: impl FnMut()) -> Final<U::Answer> {
+        let call = Rc::clone(&self.call);
+        if let (None, Some(arriving)) = (self.deadline, call.arriving()) {
+            let coming = {
+                let answer = pin!(&mut self.answer);
+                tokio::select! {
+                    biased;
+                    answer = answer => return answer.unwrap_or(Final::Failed),
+                    coming = arriving.ended() => coming,
+                }
+            };
+            let Coming::Whole(at) = coming else { return Final::Unfinished };
+            let deadline = at + self.budget;
+            self.deadline = Some(deadline);
+            whole();
+            self.pool.arrived(self.id, deadline);
+        }
+        // One that never comes in parts and has no deadline waits as long as its budget says.
+        let deadline = self.deadline.unwrap_or_else(|| Instant::now() + self.budget);
+        let last = deadline - ANSWER_RESERVE.min(deadline.saturating_duration_since(Instant::now()));
+        tokio::select! {
+            biased;
+            answer = &mut self.answer => answer.unwrap_or(Final::Failed),
+            () = sleep_until(last) => Final::OutOfTime,
+        }
+    }
+}
+
+impl<U: Upstream> Drop for Owed<U> {
+    fn drop(&mut self) {
+        self.pool.abandon(self.id);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::membership::Member;
+    use crate::quota::Quota;
+    use tokio::task::{yield_now, LocalSet};
+
+    /// Its servers never answer.
+    struct Mute;
+    struct Nothing;
+    impl Payload for Nothing {}
+
+    impl Upstream for Mute {
+        type Address = u16;
+        type Call = Nothing;
+        type Answer = ();
+        async fn attempt(&self, _: Place<u16>, _: &Nothing, gate: Gate<'_>) -> Ended<()> {
+            gate.open();
+            std::future::pending().await
+        }
+        async fn probe(&self, _: Place<u16>) -> Ended<()> {
+            Outcome::TimedOut.into()
+        }
+        fn close_idle(&self, _: ServerId) {}
+        fn retire(&self, _: &dyn Fn(ServerId, u64) -> bool) {}
+    }
+
+    fn pool(known: bool, most: usize) -> Pool<Mute> {
+        let known = known.then(|| List { version: 1, whole: true, members: vec![Member::serving("s", 80)] });
+        Pool::new(Setup {
+            name: "main".into(),
+            settings: Settings::default(),
+            seed: 7,
+            names: ServerNames::default(),
+            known,
+            known_stands: true,
+            upstream: Mute,
+            requests: Quota::alone(most),
+        })
+        .expect("usable")
+    }
+
+    fn exchange(name: &str) -> Exchange<Nothing> {
+        let budget = Duration::from_secs(60);
+        Exchange {
+            call: Nothing,
+            name: Some(name.as_bytes().into()),
+            class: ClassId(0),
+            tenant: None,
+            key: None,
+            cost_hint: None,
+            repeat: false,
+            budget,
+            deadline: Some(Instant::now() + budget),
+        }
+    }
+
+    /// Guards the module's counts of what is in flight: a request that ends right after one of its attempts was
+    /// called off must not be forgotten before that attempt's outcome is told.
+    #[tokio::test]
+    async fn an_attempt_called_off_is_reported_though_its_request_has_ended() {
+        let test = async {
+            let pool = pool(true, 9);
+            let owed = pool.submit(exchange("id")).expect("taken");
+            let id = owed.id;
+            let cancel = Action::Cancel { request: id, attempt: AttemptNo(0) };
+            pool.perform(vec![cancel, Action::Fail { request: id }]);
+            assert!(matches!(owed.answer(|| {}).await, Final::Failed));
+            assert!(pool.0.core.borrow().open.contains_key(&id), "its outcome has not been told");
+            assert_eq!(pool.submit(exchange("id")).err(), Some(Declined::NameInUse));
+            while pool.levels().open > 0 {
+                yield_now().await;
+            }
+            assert!(pool.submit(exchange("id")).is_ok(), "its name is free again");
+        };
+        LocalSet::new().run_until(test).await;
+    }
+
+    /// Nothing is answered twice, and nothing is kept of a request that is over.
+    #[tokio::test]
+    async fn the_first_answer_is_the_only_one() {
+        let test = async {
+            let pool = pool(true, 9);
+            let owed = pool.submit(exchange("id")).expect("taken");
+            let id = owed.id;
+            pool.perform(vec![
+                Action::Fail { request: id },
+                Action::Refuse { request: id, retry_after: None },
+            ]);
+            assert!(matches!(owed.answer(|| {}).await, Final::Failed));
+            pool.perform(vec![Action::Cancel { request: id, attempt: AttemptNo(0) }]);
+            while pool.levels().open > 0 {
+                yield_now().await;
+            }
+        };
+        LocalSet::new().run_until(test).await;
+    }
+
+    /// What can't be taken is turned away at once, with a time to come back.
+    #[tokio::test(start_paused = true)]
+    async fn a_pool_without_a_list_or_room_declines_at_once() {
+        let test = async {
+            let empty = pool(false, 9);
+            let declined = empty.submit(exchange("a")).err().expect("declined");
+            assert_eq!(declined, Declined::NoList(COME_BACK));
+            assert!(declined.come_back().is_some());
+            empty.listed(List { version: 1, whole: true, members: vec![Member::serving("s", 80)] });
+            assert!(empty.submit(exchange("a")).is_ok());
+            let full = pool(true, 1);
+            let first = full.submit(exchange("a")).expect("taken");
+            assert_eq!(full.submit(exchange("b")).err(), Some(Declined::Full(COME_BACK)));
+            drop(first);
+            full.close();
+            assert_eq!(full.submit(exchange("b")).err(), Some(Declined::Closed(COME_BACK)));
+        };
+        LocalSet::new().run_until(test).await;
+    }
+}
--- /dev/null
+++ b/crates/engine/src/servers.rs
@@ -0,0 +1,259 @@
+//! The identities and lives of a pool's servers.
+
+use crate::membership::{List, Member, State};
+use crate::upstream::Place;
+use heronhoist_decision::{CellId, KindId, Listed, ServerId, Status, Time, ZoneId};
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A server that drains or is gone is sent nothing from this on before the grace is over.
+const DRAIN_RESERVE: Duration = Duration::from_millis(100);
+/// Names of zones or kinds that have a number of their own.
+const NAMES_MOST: u32 = 1000;
+
+/// The names that the settings number.
+#[derive(Debug, Clone, Default)]
+pub struct ServerNames {
+    /// Zones, in the order of their numbers.
+    pub zones: Vec<String>,
+    /// Kinds of machine, in the order of their numbers.
+    pub kinds: Vec<String>,
+}
+
+struct Server<A> {
+    place: Place<A>,
+    serving: bool,
+    /// It has left, and is not only draining.
+    gone: bool,
+    /// When it was first told to drain or to be gone.
+    off_since: Option<Instant>,
+    started: Option<Time>,
+    /// Attempts and probes that are out to it.
+    out: usize,
+}
+
+/// Numbers for names, in the order in which they are met; the settings' names come first.
+struct Numbers(HashMap<String, u32>);
+
+impl Numbers {
+    fn new(names: &[String]) -> Self {
+        Numbers(names.iter().zip(0..).map(|(n, i)| (n.clone(), i)).collect())
+    }
+
+    fn of(&mut self, name: &str) -> u32 {
+        if let Some(number) = self.0.get(name) {
+            return *number;
+        }
+        let next = self.0.len() as u32;
+        // Names that the settings don't hold are few; past this they share one number.
+        if next <= NAMES_MOST {
+            self.0.insert(name.to_string(), next);
+        }
+        next
+    }
+}
+
+/// All servers that a pool knows.
+pub(crate) struct Servers<A> {
+    servers: HashMap<ServerId, Server<A>>,
+    ids: HashMap<String, ServerId>,
+    /// No number is given twice, so that nothing of a server that has left falls to another.
+    next: u32,
+    zones: Numbers,
+    kinds: Numbers,
+}
+
+impl<A: Clone + PartialEq> Servers<A> {
+    pub(crate) fn new(names: &ServerNames) -> Self {
+        let (zones, kinds) = (Numbers::new(&names.zones), Numbers::new(&names.kinds));
+        Servers { servers: HashMap::new(), ids: HashMap::new(), next: 0, zones, kinds }
+    }
+
+    /// The number of a zone by its name, whichever settings named it first.
+    pub(crate) fn zone(&mut self, name: &str) -> ZoneId {
+        ZoneId(self.zones.of(name))
+    }
+
+    /// True if there is one to send to.
+    pub(crate) fn any_serving(&self) -> bool {
+        self.servers.values().any(|s| s.serving)
+    }
+
+    /// How many have not left.
+    pub(crate) fn known(&self) -> usize {
+        self.servers.values().filter(|s| !s.gone).count()
+    }
+
+    /// Whether it serves and still is in this life.
+    pub(crate) fn is_current(&self, server: ServerId, life: u64) -> bool {
+        self.servers.get(&server).is_some_and(|s| s.serving && s.place.life == life)
+    }
+
+    /// Whether something new may still be written to it: for a drain a send counts from its first byte.
+    pub(crate) fn may_send(&self, server: ServerId, grace: Duration) -> bool {
+        let server = self.servers.get(&server);
+        server.is_some_and(|s| s.off_since.is_none_or(|since| since.elapsed() + DRAIN_RESERVE < grace))
+    }
+
+    /// One more attempt or probe is out to it; `None` if it is not known any more.
+    pub(crate) fn enter(&mut self, server: ServerId) -> Option<Place<A>> {
+        self.servers.get_mut(&server).map(|s| {
+            s.out += 1;
+            s.place.clone()
+        })
+    }
+
+    /// An attempt or a probe is no longer out.
+    pub(crate) fn leave(&mut self, server: ServerId) {
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.out = server.out.saturating_sub(1);
+        }
+    }
+
+    /// Drops the servers that have left for good: the grace is over, and nothing is out to them. Servers that are
+    /// replaced under ever new names would fill the memory.
+    pub(crate) fn forget(&mut self, after: Duration) {
+        let before = self.servers.len();
+        self.servers.retain(|_, s| {
+            !(s.gone && s.out == 0 && s.off_since.is_some_and(|since| since.elapsed() >= after))
+        });
+        if self.servers.len() < before {
+            self.ids.retain(|_, id| self.servers.contains_key(id));
+        }
+    }
+
+    /// Takes over addresses and states; returns the lines in the module's terms. `cut` is told of each server whose
+    /// resting connections lead nowhere from now on, or to one that wants nothing new.
+    pub(crate) fn take(&mut self, list: List<A>, mut cut: impl FnMut(ServerId)) -> Vec<Listed> {
+        let lines: Vec<Listed> =
+            list.members.into_iter().map(|member| self.take_member(member, &mut cut)).collect();
+        if list.whole {
+            let named: HashSet<ServerId> = lines.iter().map(|line| line.server).collect();
+            for (id, server) in &mut self.servers {
+                if !named.contains(id) {
+                    server.turn_off();
+                    server.gone = true;
+                    cut(*id);
+                }
+            }
+        }
+        lines
+    }
+
+    fn take_member(&mut self, member: Member<A>, cut: &mut impl FnMut(ServerId)) -> Listed {
+        let started = member.started;
+        let next = ServerId(self.next);
+        let id = match self.ids.get(&member.name) {
+            Some(id) => *id,
+            None => {
+                self.ids.insert(member.name, next);
+                self.next += 1;
+                next
+            }
+        };
+        let server = self.servers.entry(id).or_insert_with(|| {
+            let place = Place { server: id, address: member.address.clone(), life: 0 };
+            Server { place, serving: false, gone: false, off_since: None, started, out: 0 }
+        });
+        if server.place.address != member.address || server.started != started {
+            // Another process: connections to the one before lead nowhere.
+            server.place = Place { server: id, address: member.address, life: server.place.life + 1 };
+            server.started = started;
+            cut(id);
+        }
+        server.gone = member.state == State::Gone;
+        match member.state {
+            State::Serving => (server.serving, server.off_since) = (true, None),
+            State::Draining | State::Gone => {
+                server.turn_off();
+                cut(id);
+            }
+        }
+        Listed {
+            server: id,
+            zone: ZoneId(self.zones.of(&member.zone)),
+            kind: KindId(self.kinds.of(&member.kind)),
+            cell: CellId(member.cell),
+            status: match member.state {
+                State::Serving => Status::Serving,
+                State::Draining => Status::Draining,
+                State::Gone => Status::Gone,
+            },
+            weight: member.weight.filter(|w| w.is_finite()).unwrap_or(1.0),
+            started,
+        }
+    }
+}
+
+impl<A> Server<A> {
+    fn turn_off(&mut self) {
+        self.serving = false;
+        self.off_since.get_or_insert_with(Instant::now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Servers that are replaced under ever new names must not be kept, and the one that takes the address of one
+    /// that has gone is another: nothing of the old one is its own.
+    #[tokio::test(start_paused = true)]
+    async fn servers_that_have_left_are_forgotten() {
+        let mut servers = Servers::new(&ServerNames::default());
+        let mut numbers = HashSet::new();
+        for n in 0..50 {
+            let members = vec![Member::serving(&format!("s{n}"), 80)];
+            let lines = servers.take(List { version: n, whole: true, members }, |_| {});
+            tokio::time::advance(Duration::from_secs(1)).await;
+            servers.forget(Duration::from_secs(2));
+            assert!(servers.servers.len() <= 4, "{} are kept", servers.servers.len());
+            assert_eq!(servers.ids.len(), servers.servers.len());
+            assert!(numbers.insert(lines[0].server), "a number is given twice");
+        }
+    }
+
+    /// What drains is cut off before its grace is over, and one that something is out to stays known.
+    #[tokio::test(start_paused = true)]
+    async fn a_drain_closes_the_gate_in_time_and_a_restart_is_a_new_life() {
+        let mut servers = Servers::new(&ServerNames::default());
+        let list = |version, state, started| {
+            let member = Member { state, started, ..Member::serving("s", 80) };
+            List { version, whole: true, members: vec![member] }
+        };
+        let mut cut = Vec::new();
+        let id = servers.take(list(1, State::Serving, None), |id| cut.push(id))[0].server;
+        let grace = Duration::from_millis(500);
+        assert!(servers.may_send(id, grace) && servers.is_current(id, 0) && cut.is_empty());
+        let place = servers.enter(id).expect("known");
+        servers.take(list(2, State::Draining, None), |id| cut.push(id));
+        assert_eq!(cut, [id]);
+        assert!(servers.may_send(id, grace) && !servers.any_serving());
+        tokio::time::advance(Duration::from_millis(399)).await;
+        // A drain that is told again does not begin anew.
+        servers.take(list(3, State::Draining, None), |_| {});
+        assert!(servers.may_send(id, grace));
+        tokio::time::advance(Duration::from_millis(1)).await;
+        assert!(!servers.may_send(id, grace));
+        servers.take(list(4, State::Serving, Some(Time(7))), |_| {});
+        assert!(servers.may_send(id, grace) && servers.is_current(id, place.life + 1));
+        servers.take(List { version: 5, whole: true, members: vec![] }, |_| {});
+        servers.forget(Duration::ZERO);
+        assert!(servers.enter(id).is_some(), "something is out to it");
+        (0..2).for_each(|_| servers.leave(id));
+        servers.forget(Duration::ZERO);
+        assert!(servers.enter(id).is_none() && !servers.may_send(id, grace));
+    }
+
+    #[test]
+    fn names_past_the_bound_share_a_number() {
+        let mut numbers = Numbers::new(&["a".into(), "b".into()]);
+        assert_eq!((numbers.of("b"), numbers.of("c"), numbers.of("c")), (1, 2, 2));
+        (0..5000).for_each(|n| {
+            numbers.of(&format!("z{n}"));
+        });
+        assert_eq!(numbers.0.len() as u32, NAMES_MOST + 1);
+        assert_eq!(numbers.of("another"), NAMES_MOST + 1);
+    }
+}
