Add a command line, a configuration file of our own, several fronts and pools in one process

The program knew only the platform's JSON and died without LB_CONFIG, so nobody else could start it. crates/config reads deploy/heronhoist.toml whole and names every fault with line, column, key, what was found and what is wanted; ${NAME} is read in addresses only. `run`, `check`, `config`, `completions` and `--version` by clap; without arguments it is the platform's agent as before. SIGHUP takes all of a file or nothing in both forms, and turns down what a running process can't change. A new process takes over the sockets of the fronts it shares with the old one and opens the others. benches/overhead pairs two binaries in one closed loop.

Tests on loopback: a pool whose servers hang, a pool removed with requests under way, a pool that has no list, a handover that adds a front, 100 signals of which half with broken files under load, a changed front turned down, exit codes and places of faults.

--- /dev/null
+++ b/crates/agent/benches/overhead.rs
@@ -0,0 +1,217 @@
+//! What the agent costs a request: CPU time and latency, in a closed loop of 16 connections with answers of 512 bytes from
+//! 12 stand-ins, beside the same loop without an agent. Another binary can be paired with this one in turns:
+//!
+//!     cargo bench -p heronhoist --bench overhead -- --against OTHER --rounds 9 --requests 20000
+//!
+//! Absolute times of a machine say little; quote the ratios, taken in one run.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, LocalSet};
+
+const STAND_INS: usize = 12;
+const CONNECTIONS: usize = 16;
+const ANSWER_BYTES: usize = 512;
+const SETTINGS: &str = r#"{"zones":["a"],"kinds":["m"],"discovery":"on_request","classes":[
+ {"name":"read","effect":"idempotent","aimMs":500,"deadlineMs":2000,"points":1}],
+ "limits":{"cancel":true,"retryAfter":true,"connectTimeoutMs":250,"keepaliveMs":60000,"maxAttempts":3},
+ "rules":{"stopSendingWithinMs":500}}"#;
+
+fn on_a_thread<T>(work: impl std::future::Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, work)
+}
+
+/// Reads one head; false at the end of the stream.
+async fn head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
+    loop {
+        if let Some(at) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
+            buffer.drain(..at + 4);
+            return true;
+        }
+        if !matches!(stream.read_buf(buffer).await, Ok(n) if n > 0) {
+            return false;
+        }
+    }
+}
+
+fn stand_ins() -> Vec<SocketAddr> {
+    let (tell, told) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        on_a_thread(async move {
+            for _ in 0..STAND_INS {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("an address");
+                tell.send(listener.local_addr().expect("an address")).expect("heard");
+                spawn_local(async move {
+                    while let Ok((mut stream, _)) = listener.accept().await {
+                        let _ = stream.set_nodelay(true);
+                        spawn_local(async move {
+                            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {ANSWER_BYTES}\r\n\r\n")
+                                .into_bytes();
+                            let answer = [answer, vec![b'x'; ANSWER_BYTES]].concat();
+                            let mut buffer = Vec::new();
+                            while head(&mut stream, &mut buffer).await {
+                                if stream.write_all(&answer).await.is_err() {
+                                    return;
+                                }
+                            }
+                        });
+                    }
+                });
+            }
+            std::future::pending::<()>().await;
+        });
+    });
+    (0..STAND_INS).map(|_| told.recv().expect("an address")).collect()
+}
+
+struct Agent(Child, SocketAddr);
+
+impl Agent {
+    fn start(binary: &Path, config: &Path) -> Agent {
+        let mut command = Command::new(binary);
+        command.env("LB_CONFIG", config).env_remove("TMPDIR").stderr(Stdio::piped());
+        for name in ["LB_LISTEN", "LB_DISCOVERY", "LB_OPS"] {
+            command.env_remove(name);
+        }
+        let mut child = command.spawn().expect("the agent starts");
+        let mut log = BufReader::new(child.stderr.take().expect("its log"));
+        let mut line = String::new();
+        let address = loop {
+            line.clear();
+            assert!(log.read_line(&mut line).expect("a line") > 0, "the agent has ended at its start");
+            if let Some((_, address)) = line.split_once("listening on ") {
+                break address.split_whitespace().next().and_then(|a| a.parse().ok()).expect("an address");
+            }
+        };
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Agent(child, address)
+    }
+
+    /// CPU time of its one thread so far.
+    fn cpu(&self) -> Duration {
+        let path = format!("/proc/{}/schedstat", self.0.id());
+        let text = std::fs::read_to_string(path).expect("a system that tells CPU time");
+        Duration::from_nanos(text.split(' ').next().and_then(|n| n.parse().ok()).expect("a number"))
+    }
+
+    /// Peak memory in KiB.
+    fn peak(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.0.id())).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("VmHWM")).unwrap_or_default();
+        line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).unwrap_or(0)
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Latencies in microseconds, sorted, and requests a second.
+fn load(targets: &[SocketAddr], requests: usize) -> (Vec<u64>, f64) {
+    let start = Instant::now();
+    let mut all: Vec<u64> = on_a_thread(async {
+        let loops = (0..CONNECTIONS).map(|n| {
+            let target = targets[n % targets.len()];
+            spawn_local(async move {
+                let mut stream = TcpStream::connect(target).await.expect("connects");
+                let _ = stream.set_nodelay(true);
+                let (mut buffer, mut times) = (Vec::new(), Vec::new());
+                for i in 0..requests / CONNECTIONS {
+                    let request = format!("GET /read?i={i} HTTP/1.1\r\nHost: o\r\nX-Call-Id: c{n}-{i}\r\nX-Call-Class: read\r\nX-Budget-Ms: 2000\r\n\r\n");
+                    let sent = Instant::now();
+                    stream.write_all(request.as_bytes()).await.expect("written");
+                    assert!(head(&mut stream, &mut buffer).await, "the connection has ended");
+                    while buffer.len() < ANSWER_BYTES {
+                        assert!(stream.read_buf(&mut buffer).await.expect("read") > 0);
+                    }
+                    buffer.drain(..ANSWER_BYTES);
+                    times.push(sent.elapsed().as_micros() as u64);
+                }
+                times
+            })
+        });
+        let mut times = Vec::new();
+        for one in loops.collect::<Vec<_>>() {
+            times.extend(one.await.expect("served"));
+        }
+        times
+    });
+    let rate = all.len() as f64 / start.elapsed().as_secs_f64();
+    all.sort_unstable();
+    (all, rate)
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let value = |name: &str| {
+        let at = arguments.iter().position(|a| a == name)?;
+        arguments.get(at + 1).cloned()
+    };
+    let number = |name: &str, other: usize| value(name).and_then(|v| v.parse().ok()).unwrap_or(other);
+    let (rounds, requests) = (number("--rounds", 5), number("--requests", 20_000));
+    let mut binaries = vec![PathBuf::from(env!("CARGO_BIN_EXE_heronhoist"))];
+    binaries.extend(value("--against").map(PathBuf::from));
+
+    let servers = stand_ins();
+    let targets: Vec<String> = servers
+        .iter()
+        .enumerate()
+        .map(|(n, a)| format!(r#"{{"uid":"s{n}","endpoint":"{a}","az":"a","model":"m","state":"SERVING"}}"#))
+        .collect();
+    let config = format!(
+        r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1f","limits":{{"sockets":1024,"memory_mb":64}},
+        "known":{{"rev":1,"all":true,"targets":[{}]}},"settings":{SETTINGS}}}"#,
+        targets.join(",")
+    );
+    let path = std::env::temp_dir().join(format!("heronhoist-overhead-{}.json", std::process::id()));
+    std::fs::write(&path, config).expect("a file");
+
+    // Per binary: CPU microseconds a request, median and 99th percentile latency, requests a second, peak KiB.
+    let mut seen: Vec<Vec<[f64; 5]>> = vec![Vec::new(); binaries.len()];
+    let mut direct = Vec::new();
+    for round in 0..rounds {
+        direct.push(load(&servers, requests).1);
+        for turn in 0..binaries.len() {
+            let at = (turn + round) % binaries.len();
+            let agent = Agent::start(&binaries[at], &path);
+            load(&[agent.1], requests / 10);
+            let before = agent.cpu();
+            let (times, rate) = load(&[agent.1], requests);
+            let cpu = (agent.cpu() - before).as_secs_f64() * 1e6 / times.len() as f64;
+            let at_share = |share: f64| times[((times.len() - 1) as f64 * share) as usize] as f64;
+            seen[at].push([cpu, at_share(0.5), at_share(0.99), rate, agent.peak() as f64]);
+        }
+    }
+    let _ = std::fs::remove_file(&path);
+    let names = ["CPU us a request", "median us", "99th pct us", "requests/s", "peak KiB"];
+    println!("{rounds} rounds of {requests} requests, {CONNECTIONS} connections, {ANSWER_BYTES} bytes, {STAND_INS} stand-ins");
+    println!("direct: {:.0} requests/s", median(direct.clone()));
+    for (binary, rows) in binaries.iter().zip(&seen) {
+        let told = (0..5).map(|i| format!("{} {:.1}", names[i], median(rows.iter().map(|r| r[i]).collect())));
+        println!("{}: {}", binary.display(), told.collect::<Vec<_>>().join(", "));
+        let share = rows.iter().zip(&direct).map(|(row, direct)| row[3] / direct).collect();
+        println!("  proxied/direct {:.3}", median(share));
+    }
+    if let [this, other] = &seen[..] {
+        for (i, name) in names.iter().enumerate() {
+            let ratios: Vec<f64> = this.iter().zip(other).map(|(a, b)| a[i] / b[i]).collect();
+            let (least, most) = ratios.iter().fold((f64::MAX, 0.0_f64), |(l, m), r| (l.min(*r), m.max(*r)));
+            println!("this/other {name}: {:.3} ({least:.3} to {most:.3})", median(ratios));
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/cli.rs
@@ -0,0 +1,217 @@
+//! The command line.
+
+use crate::config::{Config, Unusable};
+use crate::log;
+use crate::plan::{Members, Plan, PoolPlan};
+use clap::{CommandFactory, Parser, Subcommand};
+use heronhoist_decision::Effect;
+use std::fmt::Write as _;
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Carries an application's requests to a fleet of record servers, giving each exactly one final answer.
+#[derive(Parser)]
+#[command(
+    name = "heronhoist",
+    version,
+    after_help = "Without a command it is the platform's agent: LB_CONFIG names its file, and LB_LISTEN, LB_DISCOVERY and LB_OPS\noverrule the addresses in it.\n\nExit codes: 0 all is well; 1 a file has a fault, or the agent could not start; 2 the command line is wrong, or a file\ncan't be read."
+)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run the agent until SIGTERM; SIGHUP reads the file again, and takes all of it or nothing.
+    Run {
+        /// The file, as deploy/heronhoist.toml; without it the platform's, which LB_CONFIG names.
+        #[arg(short, long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
+    /// Check files as `run` would, and show what would be served. Nothing is started.
+    Check {
+        /// The files; one that ends in .json is of the platform's form.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+    /// Show each value in force and where it comes from.
+    Config {
+        /// The file; without it the platform's, which LB_CONFIG names.
+        #[arg(short, long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
+    /// Write a completion script for a shell to standard output.
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+/// The exit code for a file that can't be read; clap uses the same for what it can't understand.
+const UNREAD: u8 = 2;
+
+/// Does what the command line says.
+pub fn main() -> ExitCode {
+    match Arguments::parse().command {
+        None => run(Config::from_env()),
+        Some(Command::Run { config }) => run(load(config)),
+        Some(Command::Check { files }) => check(&files),
+        Some(Command::Config { config }) => match load(config) {
+            Ok(config) => print(&entries(&config)),
+            Err(fault) => fail(&fault.to_string(), code_of(&fault)),
+        },
+        Some(Command::Completions { shell }) => {
+            clap_complete::generate(shell, &mut Arguments::command(), "heronhoist", &mut io::stdout());
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn load(file: Option<PathBuf>) -> Result<Config, Unusable> {
+    file.map_or_else(Config::from_env, |file| Config::from_file(&file))
+}
+
+fn run(config: Result<Config, Unusable>) -> ExitCode {
+    let config = match config {
+        Ok(config) => config,
+        Err(fault) => return fail(&fault.to_string(), code_of(&fault)),
+    };
+    let (format, levels) = &config.log;
+    match levels.parse() {
+        Ok(levels) => log::start(*format, levels),
+        Err(e) => return fail(&format!("log.level {levels:?}: {e}"), 1),
+    }
+    match crate::start(config) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => fail(&fault, 1),
+    }
+}
+
+fn code_of(fault: &Unusable) -> u8 {
+    match fault {
+        Unusable::Unread(_) => UNREAD,
+        Unusable::Faulty(_) | Unusable::Faults(..) => 1,
+    }
+}
+
+/// One plain line, and the end.
+fn fail(fault: &str, code: u8) -> ExitCode {
+    let _ = writeln!(io::stderr(), "heronhoist: {fault}");
+    ExitCode::from(code)
+}
+
+/// A reader that has gone, as `head` does, is no fault.
+fn print(text: &str) -> ExitCode {
+    let _ = io::stdout().write_all(text.as_bytes());
+    ExitCode::SUCCESS
+}
+
+fn check(files: &[PathBuf]) -> ExitCode {
+    let mut worst = 0;
+    for path in files {
+        match Config::from_file(path) {
+            Ok(config) => {
+                print(&format!("{}: sound\n\n{}", path.display(), served(&config)));
+            }
+            Err(fault) => {
+                worst = worst.max(code_of(&fault));
+                match &fault {
+                    Unusable::Faults(path, faults) => {
+                        for fault in faults {
+                            let _ = writeln!(io::stderr(), "{}:{fault}", path.display());
+                        }
+                    }
+                    other => drop(fail(&other.to_string(), 1)),
+                }
+            }
+        }
+    }
+    ExitCode::from(worst)
+}
+
+/// What would be served.
+fn served(config: &Config) -> String {
+    let Plan { classes, pools, routes, .. } = &config.plan;
+    let name = |place: Option<usize>| {
+        place.and_then(|p| pools.get(p)).map_or("none: 404".to_string(), |pool| pool.name.clone())
+    };
+    let mut text = String::new();
+    let fronts =
+        config.fronts.iter().map(|front| [front.name.to_string(), "http".into(), front.listen.to_string()]);
+    text += &table(["front", "protocol", "listens on"], fronts);
+    if let Some(ops) = config.ops {
+        let _ = writeln!(text, "operators call at {ops}\n");
+    }
+    let terms = pools.first().map_or(&[][..], |pool| &pool.settings.classes);
+    let effect = |effect: &Effect| match effect {
+        Effect::Idempotent => "idempotent".to_string(),
+        Effect::AtMostOnce => "at most once".to_string(),
+        Effect::Deduplicated { group, window } => {
+            format!("deduplicated by {} for {} ms", format!("{group:?}").to_lowercase(), window.ms())
+        }
+    };
+    let rows = classes.iter().zip(terms).map(|(name, class)| {
+        [name.clone(), effect(&class.effect), format!("{} of {} ms", class.aim.ms(), class.deadline.ms())]
+    });
+    text += &table(["class", "effect", "aim of deadline"], rows);
+    let members = |pool: &PoolPlan| match &pool.members {
+        Members::Discovery(address) => format!("discovery at {address}"),
+        Members::Fixed(members) => {
+            let list: Vec<String> = members.iter().map(|m| format!("{} at {}", m.name, m.address)).collect();
+            list.join(", ")
+        }
+    };
+    let rows = pools.iter().map(|pool| {
+        let settings = &pool.settings;
+        let rules = format!(
+            "{} attempts, {}drain {} ms",
+            settings.max_attempts,
+            if settings.second_copies { "second copies, " } else { "" },
+            settings.drain_grace.ms()
+        );
+        [pool.name.clone(), rules, members(pool)]
+    });
+    text += &table(["pool", "rules", "servers"], rows);
+    let rows = routes.rules().iter().map(|rule| {
+        let asks = &rule.conditions;
+        let lists = [
+            ("front", &asks.fronts),
+            ("class", &asks.classes),
+            ("tenant", &asks.tenants),
+            ("path", &asks.paths),
+        ];
+        let lists = lists.into_iter().chain(asks.labels.iter().map(|(name, values)| (name.as_str(), values)));
+        let asks: Vec<String> = lists
+            .filter(|(_, list)| !list.is_empty())
+            .map(|(name, list)| format!("{name} {}", list.join(" or ")))
+            .collect();
+        [rule.name.clone(), asks.join(", "), name(Some(rule.pool))]
+    });
+    let last = [["any other".to_string(), String::new(), name(routes.default_pool())]];
+    text += &table(["route", "asks for", "pool"], rows.chain(last));
+    text
+}
+
+/// Columns as wide as what stands in them.
+fn table(head: [&str; 3], rows: impl IntoIterator<Item = [String; 3]>) -> String {
+    let mut lines = vec![head.map(String::from)];
+    lines.extend(rows);
+    let width = |column: usize| lines.iter().map(|line| line[column].chars().count()).max().unwrap_or(0);
+    let (first, second) = (width(0), width(1));
+    let mut text = String::new();
+    for [a, b, c] in &lines {
+        let line = format!("{a:first$}  {b:second$}  {c}");
+        let _ = writeln!(text, "{}", line.trim_end());
+    }
+    text + "\n"
+}
+
+fn entries(config: &Config) -> String {
+    let mut text = String::new();
+    for (key, value, source) in config.entries() {
+        let _ = writeln!(text, "{key} = {value}  # {source}");
+    }
+    text
+}
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -3,10 +3,12 @@
 use crate::backend::HttpTerms;
 use crate::discovery::ListReply;
 use crate::lanes::Room;
+use crate::log;
 use crate::plan::{Members, Plan, PoolPlan};
 use crate::server;
+use heronhoist_config::{Fault, ServerState};
 use heronhoist_decision::{ReportSource, Span};
-use heronhoist_engine::{List, ServerNames};
+use heronhoist_engine::{List, Member, ServerNames, State};
 use heronhoist_routes::Table;
 use heronhoist_settings::SettingsFile;
 use serde::Deserialize;
@@ -14,6 +16,8 @@
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Descriptors kept back for the listener, discovery, the runtime and accepted connections on their way out.
@@ -78,7 +82,7 @@
 /// All that the agent is told.
 pub struct Config {
     /// Where clients connect.
-    pub listen: SocketAddr,
+    pub fronts: Vec<Front>,
     /// Where operators call, if anywhere.
     pub ops: Option<SocketAddr>,
     /// For random numbers; new with each start.
@@ -89,8 +93,56 @@
     pub known: Option<List<SocketAddr>>,
     /// What it serves.
     pub plan: Plan,
-    /// The file as it was read.
-    shape: Value,
+    /// How its log looks, and what is in it.
+    pub log: (log::Format, String),
+    path: PathBuf,
+    origin: Origin,
+}
+
+/// Where clients connect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Front {
+    /// Its name, which routes can ask for.
+    pub name: Rc<str>,
+    /// Its address.
+    pub listen: SocketAddr,
+}
+
+/// The form of the file, and what a later one is compared with.
+enum Origin {
+    /// The platform's, as it was read.
+    Platform(Value),
+    /// This project's own.
+    Own(Box<heronhoist_config::File>),
+}
+
+/// Why there is no configuration.
+#[derive(Debug)]
+pub enum Unusable {
+    /// The file can't be read.
+    Unread(String),
+    /// It has a fault, in words.
+    Faulty(String),
+    /// Each fault with its place.
+    Faults(PathBuf, Vec<Fault>),
+}
+
+/// One line, whatever is wrong.
+impl std::fmt::Display for Unusable {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Unusable::Unread(why) | Unusable::Faulty(why) => f.write_str(why),
+            Unusable::Faults(path, faults) => {
+                if let Some(first) = faults.first() {
+                    write!(f, "{}:{first}", path.display())?;
+                }
+                match faults.len() {
+                    0 | 1 => Ok(()),
+                    n => write!(f, " ({} more; `heronhoist check` names all)", n - 1),
+                }
+            }
+        }
+    }
 }
 
 /// What one process may hold.
@@ -105,11 +157,12 @@
 pub struct Revised {
     /// What is served from now on.
     pub plan: Plan,
-    shape: Value,
+    origin: Origin,
 }
 
-/// The platform's one pool.
+/// The platform's one pool and one front.
 const MAIN: &str = "main";
+const FRONT: &str = "http";
 
 /// The platform's settings as a plan.
 pub fn plan(file: &SettingsFile, discovery: SocketAddr) -> Plan {
@@ -172,41 +225,184 @@
     ops: Option<String>,
 }
 
+/// A pool of this project's own file.
+fn own_pool(pool: &heronhoist_config::Pool) -> PoolPlan {
+    let member = |server: &heronhoist_config::Server| Member {
+        zone: server.zone.clone(),
+        cell: server.cell,
+        weight: Some(server.weight),
+        state: match server.state {
+            ServerState::Serving => State::Serving,
+            ServerState::Draining => State::Draining,
+        },
+        ..Member::serving(&server.name, server.address)
+    };
+    PoolPlan {
+        name: pool.name.clone(),
+        settings: pool.settings.clone(),
+        names: ServerNames { zones: pool.zones.clone(), kinds: Vec::new() },
+        http: HttpTerms {
+            report_names: Vec::new(),
+            has_reports: false,
+            connect_timeout: pool.connect_timeout,
+            keepalive: pool.keepalive,
+        },
+        members: match pool.membership {
+            heronhoist_config::Membership::Static => {
+                Members::Fixed(pool.servers.iter().map(member).collect())
+            }
+            heronhoist_config::Membership::Platform(address) => Members::Discovery(address),
+        },
+    }
+}
+
+fn own_plan(file: &heronhoist_config::File) -> Plan {
+    Plan {
+        classes: file.classes.clone(),
+        tenants: file.tenants.clone(),
+        pools: file.pools.iter().map(own_pool).collect(),
+        routes: file.routes.clone(),
+    }
+}
+
+/// What this project's own file says that a process can't change while it runs, and whether the other says the same.
+fn fixed_fault(old: &heronhoist_config::File, new: &heronhoist_config::File) -> Option<&'static str> {
+    let parts = [
+        ("front", old.fronts == new.fronts),
+        ("ops.listen", old.ops == new.ops),
+        ("limits", (old.sockets, old.memory_mb) == (new.sockets, new.memory_mb)),
+        ("log", (old.log_format, &old.log_level) == (new.log_format, &new.log_level)),
+    ];
+    parts.into_iter().find(|(_, same)| !same).map(|(key, _)| key)
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
+}
+
+fn read_file(path: &Path) -> Result<Vec<u8>, Unusable> {
+    std::fs::read(path).map_err(|e| Unusable::Unread(format!("cannot read {}: {e}", path.display())))
+}
+
 impl Config {
-    /// Reads the file that `LB_CONFIG` names; `LB_LISTEN`, `LB_DISCOVERY` and `LB_OPS` overrule what it says.
-    pub fn from_env() -> Result<Config, String> {
-        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-        let path = var("LB_CONFIG").ok_or("LB_CONFIG is not set; it must name the configuration file")?;
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        let places = Places { listen: var("LB_LISTEN"), discovery: var("LB_DISCOVERY"), ops: var("LB_OPS") };
-        Config::parse(&text, places).map_err(|e| format!("{path}: {e}"))
+    /// Reads the platform's file, which `LB_CONFIG` names; `LB_LISTEN`, `LB_DISCOVERY` and `LB_OPS` overrule what it
+    /// says.
+    pub fn from_env() -> Result<Config, Unusable> {
+        let path = variable("LB_CONFIG").ok_or_else(|| {
+            Unusable::Unread(
+                "nothing to run: give --config FILE, or name the platform's file in LB_CONFIG".into(),
+            )
+        })?;
+        Config::of_platform(Path::new(&path))
+    }
+
+    /// Reads a file of either form: the platform's is JSON.
+    pub fn from_file(path: &Path) -> Result<Config, Unusable> {
+        if path.extension().is_some_and(|extension| extension == "json") {
+            return Config::of_platform(path);
+        }
+        let file = Config::own(path)?;
+        let format = match file.log_format {
+            heronhoist_config::LogFormat::Text => log::Format::Text,
+            heronhoist_config::LogFormat::Json => log::Format::Json,
+        };
+        let front = |front: &heronhoist_config::Front| Front {
+            name: front.name.as_str().into(),
+            listen: front.listen,
+        };
+        Ok(Config {
+            fronts: file.fronts.iter().map(front).collect(),
+            ops: file.ops,
+            seed: std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), std::process::id()),
+            limits: Limits { sockets: Some(file.sockets), memory_mb: Some(file.memory_mb) },
+            known: None,
+            plan: own_plan(&file),
+            log: (format, file.log_level.clone()),
+            path: path.into(),
+            origin: Origin::Own(Box::new(file)),
+        })
+    }
+
+    fn of_platform(path: &Path) -> Result<Config, Unusable> {
+        let text = read_file(path)?;
+        let places = Places {
+            listen: variable("LB_LISTEN"),
+            discovery: variable("LB_DISCOVERY"),
+            ops: variable("LB_OPS"),
+        };
+        let config = Config::parse(&text, places);
+        let config = config.map_err(|e| Unusable::Faulty(format!("{}: {e}", path.display())))?;
+        Ok(Config { path: path.into(), ..config })
+    }
+
+    fn own(path: &Path) -> Result<heronhoist_config::File, Unusable> {
+        let text = String::from_utf8(read_file(path)?)
+            .map_err(|e| Unusable::Faulty(format!("{}: not UTF-8: {e}", path.display())))?;
+        heronhoist_config::parse(&text, &variable).map_err(|faults| Unusable::Faults(path.into(), faults))
     }
 
     /// What the processes of this agent may hold together.
     pub fn limits(&self) -> Limits {
         self.limits
     }
-    /// Reads the file once more, at the operators' signal. The environment is as old as the process and has no say
-    /// here. Addresses and limits of this process do not change without a restart.
+
+    /// Each value in force and who said so, as far as the form of the file tells.
+    pub fn entries(&self) -> Vec<(String, String, String)> {
+        match &self.origin {
+            Origin::Own(file) => file
+                .entries
+                .iter()
+                .map(|entry| (entry.key.clone(), entry.value.clone(), entry.source.to_string()))
+                .collect(),
+            Origin::Platform(shape) => {
+                let mut entries = Vec::new();
+                flatten(shape, "", &mut entries);
+                for (key, name) in [("listen", "LB_LISTEN"), ("discovery", "LB_DISCOVERY"), ("ops", "LB_OPS")]
+                {
+                    if let Some(value) = variable(name) {
+                        entries.retain(|(other, ..)| other != key);
+                        entries.push((key.into(), format!("{value:?}"), name.into()));
+                    }
+                }
+                entries
+            }
+        }
+    }
+
+    /// Reads the file once more, at the operators' signal. The environment is as old as the process; in the platform's
+    /// form it has no say here. Addresses and limits of this process do not change without a restart.
     pub fn reread(&self) -> Result<Revised, String> {
-        let path = std::env::var("LB_CONFIG").map_err(|e| format!("LB_CONFIG: {e}"))?;
-        let text = std::fs::read(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        self.check(&text).map_err(|e| format!("{path}: {e}"))
+        match &self.origin {
+            Origin::Platform(shape) => {
+                let text = read_file(&self.path).map_err(|e| e.to_string())?;
+                Config::check(shape, &text).map_err(|e| format!("{}: {e}", self.path.display()))
+            }
+            Origin::Own(old) => {
+                let file = Config::own(&self.path).map_err(|e| e.to_string())?;
+                if let Some(key) = fixed_fault(old, &file) {
+                    return Err(format!(
+                        "{}: {key} has changed; that needs a new process",
+                        self.path.display()
+                    ));
+                }
+                Ok(Revised { plan: own_plan(&file), origin: Origin::Own(Box::new(file)) })
+            }
+        }
     }
 
     /// Takes a file only if it is whole: it must hold what the one in force holds, and be usable itself.
-    fn check(&self, text: &[u8]) -> Result<Revised, String> {
+    fn check(old: &Value, text: &[u8]) -> Result<Revised, String> {
         let shape = read(text)?;
-        if let Some(key) = missing(&self.shape, &shape, "") {
+        if let Some(key) = missing(old, &shape, "") {
             return Err(format!("{key} is missing"));
         }
-        let plan = Config::parse(text, Places::default())?.plan;
-        Ok(Revised { plan, shape })
+        let Config { plan, origin, .. } = Config::parse(text, Places::default())?;
+        Ok(Revised { plan, origin })
     }
 
     /// What has been taken is in force from now on.
     pub fn revise(&mut self, revised: Revised) {
-        (self.plan, self.shape) = (revised.plan, revised.shape);
+        (self.plan, self.origin) = (revised.plan, revised.origin);
     }
 
     fn parse(text: &[u8], places: Places) -> Result<Config, String> {
@@ -230,17 +426,40 @@
             return Err(format!("limits.sockets is {sockets}; at least {SOCKETS_LEAST} are needed"));
         }
         Ok(Config {
-            listen: address("listen", places.listen.or(file.listen))?,
+            fronts: vec![Front {
+                name: FRONT.into(),
+                listen: address("listen", places.listen.or(file.listen))?,
+            }],
             ops: places.ops.or(file.ops).map(|text| address("ops", Some(text))).transpose()?,
             seed: file.seed.map_or(0, |seed| seed_number(&seed)),
             limits: Limits { sockets: Some(sockets), ..file.limits },
             known: file.known.map(List::from),
             plan: plan(&file.settings, address("discovery", places.discovery.or(file.discovery))?),
-            shape,
+            log: (log::Format::Text, "info".into()),
+            path: PathBuf::new(),
+            origin: Origin::Platform(shape),
         })
     }
 }
 
+/// The values of a JSON text under the names of their keys.
+fn flatten(value: &Value, path: &str, entries: &mut Vec<(String, String, String)>) {
+    match value {
+        Value::Object(fields) => {
+            for (key, value) in fields {
+                let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+                flatten(value, &path, entries);
+            }
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            for (n, value) in items.iter().enumerate() {
+                flatten(value, &format!("{path}[{n}]"), entries);
+            }
+        }
+        value => entries.push((path.into(), value.to_string(), "file".into())),
+    }
+}
+
 /// The seed is hexadecimal text; whatever else stands there still gives some number.
 fn seed_number(seed: &Value) -> u64 {
     let hex = seed.as_str().and_then(|text| u64::from_str_radix(text, 16).ok());
@@ -285,7 +504,7 @@
             Places { listen: Some("127.0.0.2:90".into()), ..Places::default() },
         )
         .expect("usable");
-        assert_eq!(over.listen.to_string(), "127.0.0.2:90");
+        assert_eq!(over.fronts[0].listen.to_string(), "127.0.0.2:90");
     }
 
     /// A file that has lost something is turned down with the name of what it lacks.
@@ -294,10 +513,11 @@
         let text = r#"{"listen":"127.0.0.1:80","discovery":"127.0.0.1:81","known":{"rev":1,"targets":[]},"settings":{
             "classes":[{"name":"read","effect":"idempotent","aimMs":200.0,"deadlineMs":400.0,"points":1.0}],
             "limits":{"maxAttempts":3},"rules":{"coldShare":0.3}}}"#;
-        let config = parse(text).expect("usable");
-        let moved = config.check(text.replace("127.0.0.1:81", "127.0.0.1:82").as_bytes()).expect("usable");
+        let old = read(text.as_bytes()).expect("readable");
+        let check = |text: &str| Config::check(&old, text.as_bytes());
+        let moved = check(&text.replace("127.0.0.1:81", "127.0.0.1:82")).expect("usable");
         assert_eq!(moved.plan.pools[0].members, Members::Discovery(([127, 0, 0, 1], 82).into()));
-        assert!(config.check(text.replace(r#""known":{"rev":1,"targets":[]},"#, "").as_bytes()).is_ok());
+        assert!(check(&text.replace(r#""known":{"rev":1,"targets":[]},"#, "")).is_ok());
         for (old, new, fault) in [
             (text, "", "empty"),
             (text, " \n", "empty"),
@@ -318,7 +538,7 @@
             ("\"maxAttempts\":3", "\"maxAttempts\":-1", "not a configuration"),
             ("\"maxAttempts\":3", "\"maxAttempts\":null", "maxAttempts"),
         ] {
-            let said = config.check(text.replace(old, new).as_bytes()).err().expect(new);
+            let said = check(&text.replace(old, new)).err().expect(new);
             assert!(said.contains(fault), "{new}: {said}");
         }
     }
--- a/crates/agent/src/handover.rs
+++ b/crates/agent/src/handover.rs
@@ -1,5 +1,5 @@
 //! A new version under load: the process that serves passes its listening socket to the one that is started beside it,
-//! over a Unix socket in `$TMPDIR`. Both then accept from one queue, so that nothing in it is reset when the old one
+//! over a Unix socket in `$TMPDIR`, all of them in one message if there are several. Both then accept from one queue, so that nothing in it is reset when the old one
 //! closes its end. The connection between the two stays open: while it does, they share the limits.
 
 use rustix::cmsg_space;
@@ -20,6 +20,8 @@
 
 /// A predecessor that has not passed its socket by then has hung or is on its way out.
 const PASS_WAIT: Duration = Duration::from_millis(500);
+/// Listening sockets that one message holds; a configuration has no more fronts.
+const SOCKETS_MOST: usize = 16;
 /// Processes that share one address at most, this one left out.
 const PEERS_MOST: usize = 3;
 /// Pause after an accept that failed.
@@ -108,7 +110,10 @@
 
 /// The listening socket of the process that serves at present, if there is one. A file that a killed process has left
 /// leads nowhere and stops nobody.
-pub async fn take_over(place: &Path, sharers: &Rc<Sharers>) -> Option<(std::net::TcpListener, Predecessor)> {
+pub async fn take_over(
+    place: &Path,
+    sharers: &Rc<Sharers>,
+) -> Option<(Vec<std::net::TcpListener>, Predecessor)> {
     let stream = UnixStream::connect(place).await.ok()?;
     let received = timeout(PASS_WAIT, async {
         loop {
@@ -120,9 +125,9 @@
         }
     });
     match received.await {
-        Ok(Ok(listener)) => {
+        Ok(Ok(listeners)) => {
             let predecessor = Predecessor { stream, _share: sharers.enter() };
-            Some((listener.into(), predecessor))
+            Some((listeners.into_iter().map(Into::into).collect(), predecessor))
         }
         Ok(Err(e)) => {
             tracing::warn!(error = %e, "the process that serves has not passed its socket");
@@ -135,23 +140,38 @@
     }
 }
 
-fn receive(stream: &UnixStream) -> io::Result<OwnedFd> {
-    let mut space = [MaybeUninit::uninit(); cmsg_space!(ScmRights(1))];
+fn receive(stream: &UnixStream) -> io::Result<Vec<OwnedFd>> {
+    let mut space = [MaybeUninit::uninit(); cmsg_space!(ScmRights(SOCKETS_MOST))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
     let mut word = [0];
     let flags = RecvFlags::CMSG_CLOEXEC;
     recvmsg(stream.as_fd(), &mut [IoSliceMut::new(&mut word)], &mut control, flags)?;
-    let passed = control.drain().find_map(|message| match message {
-        RecvAncillaryMessage::ScmRights(mut sockets) => sockets.next(),
+    let passed = control.drain().filter_map(|message| match message {
+        RecvAncillaryMessage::ScmRights(sockets) => Some(sockets),
         _ => None,
     });
-    passed.ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "no socket came"))
+    let passed: Vec<OwnedFd> = passed.flatten().collect();
+    match passed.is_empty() {
+        true => Err(io::Error::new(io::ErrorKind::InvalidData, "no socket came")),
+        false => Ok(passed),
+    }
+}
+
+/// The socket of an address among those that were passed, taken out of them. One that was bound to any port serves for
+/// an address that asks for any.
+pub fn pick(passed: &mut Vec<std::net::TcpListener>, address: SocketAddr) -> Option<std::net::TcpListener> {
+    let exact = |listener: &std::net::TcpListener| listener.local_addr().is_ok_and(|a| a == address);
+    let any = |listener: &std::net::TcpListener| {
+        address.port() == 0 && listener.local_addr().is_ok_and(|a| a.ip() == address.ip())
+    };
+    let at = passed.iter().position(exact).or_else(|| passed.iter().position(any))?;
+    Some(passed.remove(at))
 }
 
-fn pass(stream: &UnixStream, listener: &TcpListener) -> io::Result<()> {
-    let mut space = [MaybeUninit::uninit(); cmsg_space!(ScmRights(1))];
+fn pass(stream: &UnixStream, listeners: &[Rc<TcpListener>]) -> io::Result<()> {
+    let mut space = [MaybeUninit::uninit(); cmsg_space!(ScmRights(SOCKETS_MOST))];
     let mut control = SendAncillaryBuffer::new(&mut space);
-    let sockets = [listener.as_fd()];
+    let sockets: Vec<_> = listeners.iter().map(|listener| listener.as_fd()).collect();
     control.push(SendAncillaryMessage::ScmRights(&sockets));
     sendmsg(stream.as_fd(), &[IoSlice::new(b"L")], &mut control, SendFlags::NOSIGNAL)?;
     Ok(())
@@ -166,8 +186,8 @@
     meeting.ok()
 }
 
-/// Waits at the meeting place for successors, and passes each the listening socket, until dropped.
-pub async fn offer(meeting: UnixListener, listener: Rc<TcpListener>, sharers: Rc<Sharers>) {
+/// Waits at the meeting place for successors, and passes each the listening sockets, until dropped.
+pub async fn offer(meeting: UnixListener, listeners: Vec<Rc<TcpListener>>, sharers: Rc<Sharers>) {
     loop {
         let Ok((stream, _)) = meeting.accept().await else {
             sleep(ACCEPT_PAUSE).await;
@@ -177,7 +197,7 @@
             continue;
         }
         let passed = stream.writable().await;
-        let passed = passed.and_then(|()| stream.try_io(Interest::WRITABLE, || pass(&stream, &listener)));
+        let passed = passed.and_then(|()| stream.try_io(Interest::WRITABLE, || pass(&stream, &listeners)));
         match passed {
             Ok(()) => {
                 let share = sharers.enter();
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -1,9 +1,7 @@
 //! Events for people on call and for machines, through `tracing`: as text or JSON on standard error, with a level for
 //! each target, and bounded: a flood of bad peers must not become a flood of lines.
 
-use std::fmt;
 use std::io::{self, Write};
-use std::str::FromStr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 use tracing::{Event, Metadata, Subscriber};
@@ -26,27 +24,6 @@
     Json,
 }
 
-impl FromStr for Format {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, String> {
-        match text {
-            "text" => Ok(Format::Text),
-            "json" => Ok(Format::Json),
-            other => Err(format!("{other:?} is no log format; text and json are")),
-        }
-    }
-}
-
-impl fmt::Display for Format {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Format::Text => "text",
-            Format::Json => "json",
-        })
-    }
-}
-
 struct Allowance {
     left: f64,
     counted_at: Instant,
@@ -144,11 +121,6 @@
     }
 }
 
-/// What is told where nobody says otherwise: nothing for each request.
-pub fn default_levels() -> Targets {
-    Targets::new().with_default(tracing::Level::INFO)
-}
-
 /// From here on events are written to standard error.
 pub fn start(format: Format, levels: Targets) {
     // It fails only if a subscriber was set before, which then stands.
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,6 +1,8 @@
-//! The agent: the decisions of `heronhoist-decision` on real sockets. Started with `LB_CONFIG` in the environment.
+//! The agent: the decisions of `heronhoist-decision` on real sockets. See `heronhoist --help`; with
+//! `LB_CONFIG` and no arguments it is the platform's agent.
 
 mod backend;
+mod cli;
 mod config;
 mod connections;
 mod discovery;
@@ -28,14 +30,13 @@
 use metrics::Metrics;
 use reload::{serve, Classes, Reload};
 use server::Server;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
 
 /// After SIGTERM new connections go on coming for a while, and are served.
@@ -45,28 +46,20 @@
 /// The end, counted from SIGTERM over the longest deadline.
 const STOP_SLACK: Duration = Duration::from_millis(300);
 
-/// The platform's one front.
-const FRONT: &str = "http";
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// A process that takes over waits this long for discovery; then what it knows must do.
 const LIST_WAIT: Duration = Duration::from_millis(2500);
 
 fn main() -> ExitCode {
-    log::start(log::Format::Text, log::default_levels());
+    cli::main()
+}
+
+/// Runs the agent until it is told to stop.
+fn start(config: Config) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let end = match runtime {
-        Ok(runtime) => LocalSet::new().block_on(&runtime, run()),
-        Err(e) => Err(format!("cannot start the runtime: {e}")),
-    };
-    match end {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            // One plain line, whatever the log is like.
-            let _ = writeln!(std::io::stderr(), "heronhoist: {fault}");
-            ExitCode::FAILURE
-        }
-    }
+    let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, run(config))
 }
 
 /// Listens so that another process of this agent may do so too, should it find no way to take over this socket.
@@ -78,19 +71,21 @@
     socket.listen(BACKLOG)
 }
 
-async fn run() -> Result<(), String> {
+async fn run(mut config: Config) -> Result<(), String> {
     // First of all: a signal that nobody waits for ends the program.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
-    let mut config = Config::from_env()?;
     let metrics = Rc::new(Metrics::default());
     let mut classes = Classes::new(Rc::clone(&metrics));
     let sharers = Rc::new(Sharers::default());
-    let place = handover::meeting_place(config.listen);
-    let inherited = match &place {
-        Some(place) => handover::take_over(place, &sharers).await,
-        None => None,
-    };
+    let fronts = config.fronts.clone();
+    let places: Vec<_> = fronts.iter().filter_map(|front| handover::meeting_place(front.listen)).collect();
+    let mut inherited = None;
+    for place in &places {
+        if inherited.is_none() {
+            inherited = handover::take_over(place, &sharers).await;
+        }
+    }
     // What it holds at first is as if it were not alone.
     let budget = config.limits().of(2);
     // A client's connection carries one request at a time, and there may be so many once this process is alone.
@@ -109,13 +104,21 @@
         spawn_local(ops::run(listener, Rc::clone(&server)));
         tracing::info!("operators may call at {place}");
     }
-    let (listener, predecessor) = match inherited {
-        Some((listener, predecessor)) => (TcpListener::from_std(listener), Some(predecessor)),
-        None => (bind(config.listen), None),
+    let (mut passed, predecessor) = match inherited {
+        Some((passed, predecessor)) => (passed, Some(predecessor)),
+        None => (Vec::new(), None),
     };
-    let listener = Rc::new(listener.map_err(|e| format!("cannot listen on {}: {e}", config.listen))?);
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
-    let front: Rc<str> = FRONT.into();
+    let mut listeners = Vec::new();
+    for front in &fronts {
+        // What the process before this one does not listen on is a front that has been added.
+        let listener = match handover::pick(&mut passed, front.listen) {
+            Some(listener) => TcpListener::from_std(listener),
+            None => bind(front.listen),
+        };
+        let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", front.listen))?;
+        listeners.push(Rc::new(listener));
+    }
+    drop(passed);
     let allot = {
         let (limits, server, lanes) = (config.limits(), Rc::clone(&server), Rc::clone(&lanes));
         move |sharers| {
@@ -137,32 +140,34 @@
         let _ = timeout(LIST_WAIT, heard).await;
     }
     // From here on a successor finds the way to this process.
-    let meeting = place.and_then(|place| handover::meet(&place));
-    let offer = meeting
-        .map(|meeting| spawn_local(handover::offer(meeting, Rc::clone(&listener), Rc::clone(&sharers))));
-    tracing::info!("listening on {address}");
+    let offers: Vec<_> = places
+        .iter()
+        .filter_map(|place| handover::meet(place))
+        .map(|meeting| spawn_local(handover::offer(meeting, listeners.clone(), Rc::clone(&sharers))))
+        .collect();
+    let mut accepting = Vec::new();
+    for (front, listener) in fronts.iter().zip(listeners) {
+        let address = listener.local_addr().map_err(|e| e.to_string())?;
+        tracing::info!(front = &*front.name, "listening on {address}");
+        let (server, front) = (Rc::clone(&server), Rc::clone(&front.name));
+        accepting.push(spawn_local(async move { server.accept(&front, &listener).await }));
+    }
     if let Some(predecessor) = predecessor {
         spawn_local(predecessor.relieve());
     }
-    tokio::select! {
-        () = server.accept(&front, &listener) => {}
-        _ = term.recv() => {}
-    }
+    term.recv().await;
 
     // Clients go on coming until they have noticed; what they send is served to the end.
     let stop = Instant::now();
     server.begin_stop();
-    if let Some(offer) = offer {
-        offer.abort();
-        let _ = offer.await;
-    }
+    end(offers).await;
     if sharers.has_successor() {
         // New connections are the successor's from now on; those that are open may still be used for a while.
-        drop(listener);
+        end(accepting).await;
         sleep(ACCEPT_ON).await;
     } else {
-        let _ = timeout(ACCEPT_ON, server.accept(&front, &listener)).await;
-        drop(listener);
+        sleep(ACCEPT_ON).await;
+        end(accepting).await;
     }
     server.close_all();
     let quiet_from = stop + ACCEPT_ON + LINGER;
@@ -175,3 +180,11 @@
     }
     Ok(())
 }
+
+/// Ends tasks, and comes back once what they held is free.
+async fn end(tasks: Vec<JoinHandle<()>>) {
+    for task in tasks {
+        task.abort();
+        let _ = task.await;
+    }
+}
--- a/crates/agent/src/plan.rs
+++ b/crates/agent/src/plan.rs
@@ -40,6 +40,5 @@
     /// The platform's discovery, at this address.
     Discovery(SocketAddr),
     /// The file itself.
-    #[expect(dead_code, reason = "the platform's file has none; others' files do")]
     Fixed(Vec<Member<SocketAddr>>),
 }
--- a/crates/agent/tests/loopback/common.rs
+++ b/crates/agent/tests/loopback/common.rs
@@ -276,6 +276,8 @@
 pub struct Agent {
     pub child: Child,
     pub address: SocketAddr,
+    /// Where clients come, front by front.
+    pub fronts: Vec<SocketAddr>,
     /// Where operators call, if the configuration has such a place.
     pub ops: Option<SocketAddr>,
     config: PathBuf,
@@ -314,13 +316,24 @@
 impl Agent {
     pub fn start(config: &str) -> Agent {
         let config = config_file(config);
-        Agent::watch(command(&config).spawn().unwrap(), config)
+        Agent::watch(command(&config).spawn().unwrap(), config, 1)
+    }
+
+    /// An agent with a configuration of the project's own form, whose processes meet in this folder.
+    pub fn start_own(folder: &Path, config: &str) -> Agent {
+        let (fronts, config) = (config.matches("[[front]]").count(), config_file(config));
+        // The name tells the form.
+        let file = config.with_extension("toml");
+        std::fs::rename(&config, &file).unwrap();
+        let mut command = command(&file);
+        command.env_remove("LB_CONFIG").env("TMPDIR", folder).args(["run", "--config"]).arg(&file);
+        Agent::watch(command.spawn().unwrap(), file, fronts)
     }
 
     /// An agent whose processes meet in this folder.
     pub fn start_in(folder: &Path, config: &str) -> Agent {
         let config = config_file(config);
-        Agent::watch(command(&config).env("TMPDIR", folder).spawn().unwrap(), config)
+        Agent::watch(command(&config).env("TMPDIR", folder).spawn().unwrap(), config, 1)
     }
 
     /// An agent with one backend and a configuration that allows so many descriptors.
@@ -345,25 +358,29 @@
                 .spawn()
                 .unwrap(),
             config,
+            1,
         )
     }
 
-    fn watch(mut child: Child, config: PathBuf) -> Agent {
+    fn watch(mut child: Child, config: PathBuf, fronts: usize) -> Agent {
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let (mut line, mut ops) = (String::new(), None);
-        let address = loop {
+        let (mut line, mut ops, mut listening) = (String::new(), None, Vec::new());
+        loop {
             line.clear();
             assert!(log.read_line(&mut line).unwrap() > 0, "the agent has ended at its start");
             if let Some((_, place)) = line.split_once("operators may call at ") {
                 ops = Some(place.trim().parse().unwrap());
             }
             if let Some((_, address)) = line.split_once("listening on ") {
-                break address.trim().parse().unwrap();
+                listening.push(address.split_whitespace().next().unwrap().parse().unwrap());
+                if listening.len() == fronts {
+                    break;
+                }
             }
-        };
+        }
         // The log is read to its end, or a full pipe would stop the agent.
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Agent { child, address, ops, config }
+        Agent { child, address: listening[0], fronts: listening, ops, config }
     }
 
     /// One call to the operators' address.
@@ -407,6 +424,12 @@
         self.signal("-HUP");
     }
 
+    /// How many files it has taken and turned down.
+    pub fn reloads(&self) -> (f64, f64) {
+        let figure = |name| self.figure(name).expect("a figure");
+        (figure("app_reloads_ok_total"), figure("app_reloads_failed_total"))
+    }
+
     fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
@@ -439,7 +462,11 @@
 
 impl Client {
     pub fn to(agent: &Agent) -> Client {
-        let stream = TcpStream::connect(agent.address).unwrap();
+        Client::at(agent.address)
+    }
+
+    pub fn at(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(BOUND)).unwrap();
         let input = BufReader::new(stream.try_clone().unwrap());
         Client { stream, input }
--- a/crates/agent/tests/loopback/main.rs
+++ b/crates/agent/tests/loopback/main.rs
@@ -8,6 +8,7 @@
 mod lists;
 mod ops;
 mod outcomes;
+mod pools;
 mod reload;
 mod spoilt;
 mod stopping;
