Keep the figures with the prometheus crate, add histograms, and spend less on each request

The figures were hand-made and said nothing of times. The profile of one request showed two socket reads in vain, tables for a single attempt and a fresh list of actions for each event: reads that got all there was now wait for the kernel, attempts stand in a short list, and the list of actions is kept. Where several things are ready at once the engine takes them in a fixed order, for the simulations to come.

--- a/crates/agent/benches/overhead.rs
+++ b/crates/agent/benches/overhead.rs
@@ -186,15 +186,24 @@
     let mut direct = Vec::new();
     for round in 0..rounds {
         direct.push(load(&servers, requests).1);
-        for turn in 0..binaries.len() {
-            let at = (turn + round) % binaries.len();
-            let agent = Agent::start(&binaries[at], &path);
-            load(&[agent.1], requests / 10);
-            let before = agent.cpu();
-            let (times, rate) = load(&[agent.1], requests);
-            let cpu = (agent.cpu() - before).as_secs_f64() * 1e6 / times.len() as f64;
-            let at_share = |share: f64| times[((times.len() - 1) as f64 * share) as usize] as f64;
-            seen[at].push([cpu, at_share(0.5), at_share(0.99), rate, agent.peak() as f64]);
+        // All live at once and are asked in turns of a tenth of the requests, so that what the machine does meanwhile
+        // falls on each alike.
+        let agents: Vec<Agent> = binaries.iter().map(|binary| Agent::start(binary, &path)).collect();
+        agents.iter().for_each(|agent| drop(load(&[agent.1], requests / 10)));
+        let before: Vec<Duration> = agents.iter().map(Agent::cpu).collect();
+        let (mut times, mut took) = (vec![Vec::new(); agents.len()], vec![0.0; agents.len()]);
+        for turn in 0..10 * agents.len() {
+            let at = (turn + turn / agents.len() + round) % agents.len();
+            let (seen, rate) = load(&[agents[at].1], requests / 10);
+            took[at] += seen.len() as f64 / rate;
+            times[at].extend(seen);
+        }
+        for (at, agent) in agents.iter().enumerate() {
+            times[at].sort_unstable();
+            let count = times[at].len() as f64;
+            let cpu = (agent.cpu() - before[at]).as_secs_f64() * 1e6 / count;
+            let at_share = |share: f64| times[at][((count - 1.0) * share) as usize] as f64;
+            seen[at].push([cpu, at_share(0.5), at_share(0.99), count / took[at], agent.peak() as f64]);
         }
     }
     let _ = std::fs::remove_file(&path);
--- a/crates/agent/src/lanes.rs
+++ b/crates/agent/src/lanes.rs
@@ -3,6 +3,7 @@
 use crate::backend::Http;
 use crate::connections::{Connections, Siblings};
 use crate::discovery::Discovery;
+use crate::metrics::{Metrics, Times};
 use crate::plan::{Members, PoolPlan};
 use heronhoist_decision::{ClassId, Discovery as Heard, Settings, Span};
 use heronhoist_engine::{Declined, Fixed, Levels, List, Member, Membership, Part, Pool, Quota, Setup};
@@ -30,9 +31,22 @@
     source: Source,
     /// The longest time to come back that its clients may be told; none where the settings don't let them be told.
     advice_most: Cell<Option<Span>>,
+    /// The times of each class that has asked here.
+    times: RefCell<Vec<(String, Rc<Times>)>>,
 }
 
 impl Lane {
+    /// The times of a class's requests here.
+    pub fn times(&self, metrics: &Metrics, class: &str) -> Rc<Times> {
+        let mut known = self.times.borrow_mut();
+        if let Some((_, times)) = known.iter().find(|(name, _)| name == class) {
+            return Rc::clone(times);
+        }
+        let times = metrics.times(self.pool.name(), class);
+        known.push((class.to_string(), Rc::clone(&times)));
+        times
+    }
+
     /// When a client is told to come back that was declined.
     pub fn advice(&self, declined: Declined) -> Option<Span> {
         Some(declined.come_back()?.min(self.advice_most.get()?))
@@ -60,6 +74,8 @@
                 return false
             }
         }
+        // Classes that have vanished are looked up anew should they come back.
+        self.times.borrow_mut().clear();
         self.pool.upstream().revise(&plan.http);
         self.advice_most.set(advice_most(&plan.settings));
         self.pool.revise(plan.settings.clone(), ids.to_vec(), &plan.names.zones);
@@ -188,6 +204,6 @@
         }
         spawn_local(pool.clone().run(membership));
         let advice_most = Cell::new(advice_most(&plan.settings));
-        Rc::new(Lane { pool, bodies, source, advice_most })
+        Rc::new(Lane { pool, bodies, source, advice_most, times: RefCell::default() })
     }
 }
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 use tracing::{Event, Metadata, Subscriber};
-use tracing_subscriber::filter::{FilterExt, Targets};
+use tracing_subscriber::filter::{FilterExt, LevelFilter, Targets};
 use tracing_subscriber::fmt::MakeWriter;
 use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
 use tracing_subscriber::{Layer, Registry};
@@ -61,6 +61,11 @@
         true
     }
 
+    fn max_level_hint(&self) -> Option<LevelFilter> {
+        // It knows no levels; said, so that those of the other filter cost nothing where they are off.
+        Some(LevelFilter::TRACE)
+    }
+
     fn event_enabled(&self, _: &Event<'_>, _: &Context<'_, S>) -> bool {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).take(Instant::now())
     }
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -1,124 +1,195 @@
-//! What the agent counts, and the page on which operators read it, in the Prometheus text format.
+//! What the agent counts, and the page on which operators read it, in the Prometheus text format 0.0.4.
 
 use crate::gauge::{Gauge, Ticket};
 use heronhoist_engine::Levels;
-use std::cell::{Cell, RefCell};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::fmt::Write;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Classes that are counted under their own name, those that have vanished among them; later ones share [`OTHERS`].
 const CLASSES_MOST: usize = 1000;
+/// Pairs of a pool and a class whose times are kept under their own names; each has three outcomes, and each of those
+/// about 1 kB.
+const TIMED_MOST: usize = 300;
 const OTHERS: &str = "other";
+/// The upper bounds of the buckets for times, in seconds.
+const BUCKETS: [f64; 12] = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
 
 /// A figure that only grows.
-#[derive(Default)]
-pub struct Counter(Cell<u64>);
+pub struct Counter(IntCounter);
 
 impl Counter {
     /// One more.
     pub fn add(&self) {
-        self.0.set(self.0.get().wrapping_add(1));
+        self.0.inc();
     }
+}
 
-    /// How many so far.
-    pub fn get(&self) -> u64 {
-        self.0.get()
-    }
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// With a record server's answer.
+    Served,
+    /// Told to come again.
+    Refused,
+    /// In any other way.
+    Failed,
 }
 
 /// The counters of one request class.
-#[derive(Default)]
 pub struct ClassCounters {
-    /// Requests whose final answer was a record server's.
-    pub served: Counter,
-    /// Requests told to come again.
-    pub refused: Counter,
-    /// Requests with any other end.
-    pub failed: Counter,
+    served: Counter,
+    refused: Counter,
+    failed: Counter,
     /// Attempts written whole to record servers.
     pub attempts: Counter,
 }
 
+impl ClassCounters {
+    /// The one point where a request's final answer is counted.
+    pub fn end(&self, outcome: Outcome) {
+        match outcome {
+            Outcome::Served => self.served.add(),
+            Outcome::Refused => self.refused.add(),
+            Outcome::Failed => self.failed.add(),
+        }
+    }
+}
+
+/// The times of one class's requests in one pool, by outcome.
+pub struct Times([prometheus::Histogram; 3]);
+
+impl Times {
+    /// A request has ended so long after its last byte came.
+    pub fn note(&self, outcome: Outcome, took: Duration) {
+        self.0[outcome as usize].observe(took.as_secs_f64());
+    }
+}
+
 /// All counters of the agent.
-#[derive(Default)]
 pub struct Metrics {
+    registry: Registry,
+    by_class: [IntCounterVec; 4],
+    times: HistogramVec,
     classes: RefCell<BTreeMap<String, Rc<ClassCounters>>>,
-    in_flight: Gauge,
+    timed: RefCell<BTreeMap<(String, String), Rc<Times>>>,
+    taken: Gauge,
+    levels: [IntGauge; 3],
     /// Configuration files taken at a signal.
     pub reloads_ok: Counter,
     /// And those turned down.
     pub reloads_failed: Counter,
 }
 
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new().expect("the names of the figures are legal and differ")
+    }
+}
+
 impl Metrics {
+    fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let by_class = |name, help| {
+            let family = IntCounterVec::new(Opts::new(name, help), &["class"])?;
+            registry.register(Box::new(family.clone())).map(|()| family)
+        };
+        let gauge = |name, help| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone())).map(|()| gauge)
+        };
+        let counter = |name, help| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone())).map(|()| Counter(counter))
+        };
+        let times = HistogramOpts::new(
+            "app_request_seconds",
+            "Time from a request's last byte to its final answer, or to its head if that is passed on as it comes.",
+        );
+        let times = HistogramVec::new(times.buckets(BUCKETS.to_vec()), &["pool", "class", "outcome"])?;
+        registry.register(Box::new(times.clone()))?;
+        Ok(Metrics {
+            by_class: [
+                by_class("app_served_total", "Requests answered with a record server's answer.")?,
+                by_class("app_refused_total", "Requests refused: trying again is harmless.")?,
+                by_class("app_failed_total", "Requests that ended without a promise about their effect.")?,
+                by_class("app_attempts_total", "Attempts written whole to record servers.")?,
+            ],
+            levels: [
+                gauge("app_in_flight", "Requests taken and not ended.")?,
+                gauge("app_record_servers_known", "Record servers in the list.")?,
+                gauge("app_record_servers_excluded", "Listed record servers that are avoided now.")?,
+            ],
+            reloads_ok: counter("app_reloads_ok_total", "Configuration files taken at SIGHUP.")?,
+            reloads_failed: counter(
+                "app_reloads_failed_total",
+                "Configuration files turned down at SIGHUP.",
+            )?,
+            times,
+            classes: RefCell::default(),
+            timed: RefCell::default(),
+            taken: Gauge::default(),
+            registry,
+        })
+    }
+
     /// The counters of a class; one that comes back after it had vanished goes on with its old ones.
     pub fn class(&self, name: &str) -> Rc<ClassCounters> {
         let mut classes = self.classes.borrow_mut();
         let full = classes.len() >= CLASSES_MOST && !classes.contains_key(name);
-        Rc::clone(classes.entry(if full { OTHERS } else { name }.to_string()).or_default())
+        let name = if full { OTHERS } else { name };
+        if let Some(counters) = classes.get(name) {
+            return Rc::clone(counters);
+        }
+        let of = |family: &IntCounterVec| Counter(family.with_label_values(&[name]));
+        let [served, refused, failed, attempts] = &self.by_class;
+        let (served, refused, failed, attempts) = (of(served), of(refused), of(failed), of(attempts));
+        let counters = Rc::new(ClassCounters { served, refused, failed, attempts });
+        classes.insert(name.into(), Rc::clone(&counters));
+        counters
+    }
+
+    /// The times of a class's requests in a pool.
+    pub fn times(&self, pool: &str, class: &str) -> Rc<Times> {
+        let mut timed = self.timed.borrow_mut();
+        let key = (pool.to_string(), class.to_string());
+        let full = timed.len() >= TIMED_MOST && !timed.contains_key(&key);
+        let key = if full { (OTHERS.to_string(), OTHERS.to_string()) } else { key };
+        if let Some(times) = timed.get(&key) {
+            return Rc::clone(times);
+        }
+        let outcomes = ["served", "refused", "failed"];
+        let times = outcomes.map(|outcome| self.times.with_label_values(&[&key.0, &key.1, outcome]));
+        let times = Rc::new(Times(times));
+        timed.insert(key, Rc::clone(&times));
+        times
     }
 
     /// Counts a request as taken and not ended until the ticket is dropped.
     pub fn take(&self) -> Ticket {
-        self.in_flight.enter()
+        self.taken.enter()
     }
 
     /// The page.
-    pub fn render(&self, levels: &Levels) -> String {
-        let mut page = String::with_capacity(2048);
-        let classes = self.classes.borrow();
-        let mut by_class = |name: &str, help: &str, of: fn(&ClassCounters) -> &Counter| {
-            head(&mut page, name, help, "counter");
-            for (class, counters) in classes.iter() {
-                let _ = writeln!(page, "{name}{{class=\"{}\"}} {}", escaped(class), of(counters).get());
-            }
-        };
-        by_class("app_served_total", "Requests answered with a record server's answer.", |c| &c.served);
-        by_class("app_refused_total", "Requests refused: trying again is harmless.", |c| &c.refused);
-        by_class("app_failed_total", "Requests that ended without a promise about their effect.", |c| {
-            &c.failed
-        });
-        by_class("app_attempts_total", "Attempts written whole to record servers.", |c| &c.attempts);
-        let singles = [
-            ("app_in_flight", "Requests taken and not ended.", "gauge", self.in_flight.count() as u64),
-            ("app_record_servers_known", "Record servers in the list.", "gauge", levels.known as u64),
-            (
-                "app_record_servers_excluded",
-                "Listed record servers that are avoided now.",
-                "gauge",
-                levels.excluded as u64,
-            ),
-            (
-                "app_reloads_ok_total",
-                "Configuration files taken at SIGHUP.",
-                "counter",
-                self.reloads_ok.get(),
-            ),
-            (
-                "app_reloads_failed_total",
-                "Configuration files turned down at SIGHUP.",
-                "counter",
-                self.reloads_failed.get(),
-            ),
-        ];
-        for (name, help, kind, value) in singles {
-            head(&mut page, name, help, kind);
-            let _ = writeln!(page, "{name} {value}");
+    pub fn render(&self, now: &Levels) -> String {
+        let [in_flight, known, excluded] = &self.levels;
+        in_flight.set(self.taken.count() as i64);
+        known.set(now.known as i64);
+        excluded.set(now.excluded as i64);
+        let mut page = Vec::with_capacity(8192);
+        // It can only fail where a family has no figure, and the others are written all the same.
+        let families = self.registry.gather();
+        for family in families.chunks(1) {
+            let _ = TextEncoder::new().encode(family, &mut page);
         }
-        page
+        String::from_utf8_lossy(&page).into_owned()
     }
 }
 
-fn head(page: &mut String, name: &str, help: &str, kind: &str) {
-    let _ = writeln!(page, "# HELP {name} {help}\n# TYPE {name} {kind}");
-}
-
-/// A label's value as the format wants it.
-fn escaped(label: &str) -> String {
-    label.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -129,9 +200,10 @@
     fn what_was_counted_stands_on_the_page() {
         let metrics = Metrics::default();
         let lookup = metrics.class("lookup");
-        (0..3).for_each(|_| lookup.served.add());
+        (0..3).for_each(|_| lookup.end(Outcome::Served));
         lookup.attempts.add();
         metrics.reloads_failed.add();
+        metrics.times("main", "lookup").note(Outcome::Served, Duration::from_millis(7));
         let ticket = metrics.take();
         let page = metrics.render(&Levels { known: 12, excluded: 2, open: 0 });
         for line in [
@@ -145,6 +217,10 @@
             "app_record_servers_excluded 2",
             "app_reloads_ok_total 0",
             "app_reloads_failed_total 1",
+            "# TYPE app_request_seconds histogram",
+            "app_request_seconds_bucket{class=\"lookup\",outcome=\"served\",pool=\"main\",le=\"0.005\"} 0",
+            "app_request_seconds_bucket{class=\"lookup\",outcome=\"served\",pool=\"main\",le=\"0.01\"} 1",
+            "app_request_seconds_count{class=\"lookup\",outcome=\"served\",pool=\"main\"} 1",
         ] {
             assert!(page.lines().any(|l| l == line), "{line} is not in\n{page}");
         }
@@ -156,16 +232,22 @@
     #[test]
     fn counters_outlive_their_class_and_labels_are_escaped() {
         let metrics = Metrics::default();
-        metrics.class("a\"b\\c\nd").served.add();
-        metrics.class("a\"b\\c\nd").served.add();
+        metrics.class("a\"b\\c\nd").end(Outcome::Served);
+        metrics.class("a\"b\\c\nd").end(Outcome::Served);
         assert!(metrics.render(&NONE).contains("app_served_total{class=\"a\\\"b\\\\c\\nd\"} 2\n"));
     }
 
     #[test]
-    fn classes_without_end_do_not_fill_the_memory() {
+    fn names_without_end_do_not_fill_the_memory() {
         let metrics = Metrics::default();
-        (0..3 * CLASSES_MOST).for_each(|n| metrics.class(&format!("c{n}")).served.add());
+        (0..3 * CLASSES_MOST).for_each(|n| {
+            metrics.class(&format!("c{n}")).end(Outcome::Served);
+            metrics.times(&format!("p{n}"), "c").note(Outcome::Served, Duration::ZERO);
+        });
         assert_eq!(metrics.classes.borrow().len(), CLASSES_MOST + 1);
-        assert_eq!(metrics.class(OTHERS).served.get(), 2 * CLASSES_MOST as u64);
+        assert_eq!(metrics.timed.borrow().len(), TIMED_MOST + 1);
+        assert!(metrics
+            .render(&NONE)
+            .contains(&format!("app_served_total{{class=\"other\"}} {}\n", 2 * CLASSES_MOST)));
     }
 }
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -5,7 +5,7 @@
 use crate::gauge::{Gauge, Ticket};
 use crate::intake::{check_end, fault_of, Catalogue, Checked, Fault};
 use crate::lanes::{Lane, Lanes};
-use crate::metrics::{ClassCounters, Metrics};
+use crate::metrics::{ClassCounters, Metrics, Outcome, Times};
 use crate::ops::Shown;
 use crate::seats::{End, Seat, Seats};
 use crate::upload::{Broken, Coming};
@@ -26,7 +26,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// How long a connection that has been asked to close may take to pass on an answer.
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
@@ -63,7 +63,11 @@
     /// The pool of a request.
     fn lane(&self, front: &str, checked: &Checked) -> Option<Rc<Lane>> {
         let labels = |name: &str| checked.header(name);
-        let place = self.routes.route(&checked.attributes(front, &labels))?;
+        let place = match self.routes.rules() {
+            // Nothing is looked up that no rule asks for.
+            [] => self.routes.default_pool()?,
+            _ => self.routes.route(&checked.attributes(front, &labels))?,
+        };
         self.lanes.get(place).map(Rc::clone)
     }
 }
@@ -248,7 +252,7 @@
         match answer.body_mut() {
             // It is served once the client has all of it.
             Reply::Passing(passing) => passing.counters = Some(counters),
-            Reply::Held(..) => count(&counters, answer.status()),
+            Reply::Held(..) => counters.end(outcome_of(answer.status())),
         }
         answer
     }
@@ -260,9 +264,11 @@
         lane: &Lane,
         checked: Checked,
     ) -> Result<Response<Reply>, Fault> {
+        let class = Rc::clone(&checked.class);
+        let times = lane.times(&self.metrics, &class.name);
         let exchange = catalogue.read(seat, &lane.bodies, checked).await?;
         let upload = exchange.call.body.upload().map(Rc::clone);
-        let answer = self.pass_on(seat, lane, exchange).await;
+        let answer = self.pass_on(seat, lane, (&class.name, &times), exchange).await;
         if let Some(rest) = upload.and_then(|upload| upload.give_up()) {
             seat.discard(true);
             let seat = Rc::clone(seat);
@@ -278,12 +284,15 @@
         &self,
         seat: &Rc<Seat>,
         lane: &Lane,
+        (class, times): (&str, &Times),
         exchange: Exchange<Call>,
     ) -> Result<Response<Reply>, Fault> {
         let upload = exchange.call.body.upload().map(Rc::clone);
         let mut in_flight = None;
+        let since = Cell::new(None);
         let mut whole = || {
             seat.take();
+            since.set(Some(Instant::now()));
             in_flight = Some(self.metrics.take());
         };
         if exchange.deadline.is_some() {
@@ -295,7 +304,27 @@
             Err(Declined::NameInUse) => return Err((StatusCode::CONFLICT, "X-Call-Id is in use")),
             Err(declined) => return Ok(refused(lane.advice(declined))),
         };
-        Ok(match owed.answer(whole).await {
+        let id = owed.id();
+        let answer = owed.answer(whole).await;
+        if let Some(since) = since.get() {
+            let outcome = match &answer {
+                Final::Served(_) => Outcome::Served,
+                Final::Refused(_) => Outcome::Refused,
+                Final::Failed | Final::OutOfTime | Final::Unfinished => Outcome::Failed,
+            };
+            let took = since.elapsed();
+            times.note(outcome, took);
+            tracing::debug!(
+                target: "heronhoist::request",
+                pool = lane.pool.name(),
+                request = id,
+                class,
+                outcome = ?outcome,
+                elapsed_us = took.as_micros() as u64,
+                "request ended"
+            );
+        }
+        Ok(match answer {
             Final::Served(served) => {
                 let body = match served.body {
                     Content::Held(bytes, portion) => Reply::Held(Full::new(bytes), Some(portion)),
@@ -347,7 +376,7 @@
 impl Drop for Passing {
     fn drop(&mut self) {
         if let Some(counters) = &self.counters {
-            count(counters, if self.whole { StatusCode::OK } else { StatusCode::BAD_GATEWAY });
+            counters.end(if self.whole { Outcome::Served } else { Outcome::Failed });
         }
         self.seat.passed_on();
     }
@@ -386,12 +415,12 @@
     }
 }
 
-/// The one point where a request's final answer is counted, as the protocol words it.
-fn count(counters: &ClassCounters, status: StatusCode) {
+/// How a request ended, as the protocol words it.
+fn outcome_of(status: StatusCode) -> Outcome {
     match status {
-        StatusCode::OK => counters.served.add(),
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => counters.refused.add(),
-        _ => counters.failed.add(),
+        StatusCode::OK => Outcome::Served,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Outcome::Refused,
+        _ => Outcome::Failed,
     }
 }
 
--- a/crates/agent/src/wire.rs
+++ b/crates/agent/src/wire.rs
@@ -11,6 +11,7 @@
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -193,6 +194,13 @@
             ready!(self.stream.poll_read_ready(cx))?;
             let read = BETWEEN.with_borrow_mut(|between| {
                 let n = self.stream.try_read(&mut between[..room])?;
+                if (1..room).contains(&n) {
+                    // That was all there is: the next read waits for the kernel to say that there is more, and need
+                    // not ask for it in vain. (Events come on edges, so none is missed.)
+                    let _ = self
+                        .stream
+                        .try_io(Interest::READABLE, || Err::<(), _>(io::ErrorKind::WouldBlock.into()));
+                }
                 buf.put_slice(&between[..n]);
                 self.meter.take_in(&between[..n])
             });
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -7,9 +7,10 @@
 use crate::servers::{ServerNames, Servers};
 use crate::upstream::{Coming, Ended, Gate, Payload, Place, Upstream};
 use heronhoist_decision::*;
+use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{BinaryHeap, HashSet};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::pin::pin;
 use std::rc::Rc;
@@ -135,13 +136,13 @@
     attempts: u32,
     /// How many the settings allowed when it came.
     max_attempts: u32,
-    /// What calls off the attempts that are out.
-    out: HashMap<u32, Option<oneshot::Sender<()>>>,
+    /// The attempts that are out, few at any time, and what calls each off.
+    out: Vec<(u32, Option<oneshot::Sender<()>>)>,
 }
 
 struct Core<U: Upstream> {
     balancer: Balancer,
-    open: HashMap<RequestId, Open<U>>,
+    open: FxHashMap<RequestId, Open<U>>,
     names: HashSet<Rc<[u8]>>,
     next_request: u64,
     timers: BinaryHeap<Reverse<(Time, u64)>>,
@@ -152,6 +153,8 @@
     name: String,
     clock: Clock,
     core: RefCell<Core<U>>,
+    /// Room for what the module wants done, kept from one event to the next.
+    actions: Cell<Vec<Action>>,
     timers_changed: Notify,
     /// A list has been taken, be it an old one; and its source has answered at least once.
     has_list: Cell<bool>,
@@ -184,7 +187,7 @@
         let drain_grace = Cell::new(Duration::from_micros(settings.drain_grace.0));
         let core = Core {
             balancer: Balancer::new(settings, seed)?,
-            open: HashMap::new(),
+            open: FxHashMap::default(),
             names: HashSet::new(),
             next_request: 0,
             timers: BinaryHeap::new(),
@@ -195,6 +198,7 @@
             name,
             clock: Clock::new(),
             core: RefCell::new(core),
+            actions: Cell::default(),
             timers_changed: Notify::new(),
             has_list: Cell::new(known.is_some()),
             heard: watch::Sender::new(false),
@@ -243,6 +247,7 @@
             }
         };
         tokio::select! {
+            biased;
             () = self.run_timers() => {}
             () = follow => {}
             () = retire => {}
@@ -256,6 +261,7 @@
             match next {
                 None => self.0.timers_changed.notified().await,
                 Some(at) => tokio::select! {
+                    biased;
                     () = sleep_until(self.0.clock.instant(at)) => {}
                     () = self.0.timers_changed.notified() => continue,
                 },
@@ -321,7 +327,7 @@
     /// Hands an event to the module and carries out what it decides. A panic of the module costs that event and no
     /// more: the requests that it forgets are answered at their deadline.
     fn tell(&self, event: Event) {
-        let mut actions = Vec::new();
+        let mut actions = self.0.actions.take();
         let now = self.0.clock.now();
         let run = catch_unwind(AssertUnwindSafe(|| {
             self.0.core.borrow_mut().balancer.handle(now, event, &mut actions);
@@ -329,7 +335,8 @@
         if run.is_err() {
             tracing::error!(target: "heronhoist::engine", pool = self.0.name, "the decision module has panicked; going on");
         }
-        self.perform(actions);
+        self.perform(actions.drain(..));
+        self.0.actions.set(actions);
     }
 
     /// Takes a request in. It is owed one final answer from here on, unless what is returned is dropped first.
@@ -360,7 +367,7 @@
                 reply: Some((reply, portion)),
                 attempts: 0,
                 max_attempts: self.0.max_attempts.get(),
-                out: HashMap::new(),
+                out: Vec::with_capacity(1),
             };
             core.open.insert(id, open);
             id
@@ -407,7 +414,7 @@
         let (closed, spent, since) = {
             let mut core = self.0.core.borrow_mut();
             let Some(open) = core.open.get_mut(&id) else { return };
-            open.out.remove(&attempt);
+            open.out.retain(|(out, _)| *out != attempt);
             if let Some((answer, (reply, _))) = ended.answer.and_then(|a| Some((a, open.reply.take()?))) {
                 let _ = reply.send(Final::Served(answer));
             }
@@ -455,16 +462,18 @@
 
     // ---- actions ------------------------------------------------------------------------------------
 
-    fn perform(&self, actions: Vec<Action>) {
+    fn perform(&self, actions: impl IntoIterator<Item = Action>) {
         for action in actions {
             match action {
                 Action::Send { request, server, timeout_at } => self.send(request, server, timeout_at),
                 Action::Cancel { request, attempt } => {
                     // It stays listed as out: its request must not be forgotten before its outcome is told.
                     let mut core = self.0.core.borrow_mut();
-                    let out = core.open.get_mut(&request).and_then(|o| o.out.get_mut(&attempt.0));
-                    if let Some(cancel) = out.and_then(Option::take) {
-                        let _ = cancel.send(());
+                    let out = core.open.get_mut(&request).into_iter().flat_map(|open| &mut open.out);
+                    for (_, cancel) in out.filter(|(out, _)| *out == attempt.0) {
+                        if let Some(cancel) = cancel.take() {
+                            let _ = cancel.send(());
+                        }
                     }
                 }
                 Action::Refuse { request, retry_after } => self.answer(request, Final::Refused(retry_after)),
@@ -501,7 +510,7 @@
         let attempt = open.attempts;
         open.attempts += 1;
         let (cancel, cancelled) = oneshot::channel();
-        open.out.insert(attempt, Some(cancel));
+        open.out.push((attempt, Some(cancel)));
         // Nothing is sent for a request that has its answer, nor beyond the attempts or the time it has.
         let latest = open.deadline.map(|deadline| deadline - ATTEMPT_RESERVE);
         let until = self.0.clock.instant(timeout_at);
@@ -546,11 +555,13 @@
         };
         let in_time = async {
             tokio::select! {
+                biased;
                 ended = exchange => Ok(ended),
                 () = late => Err(()),
             }
         };
         tokio::select! {
+            biased;
             ended = in_time => match ended {
                 Ok(ended) => ended,
                 Err(()) if sent.get() => Outcome::TimedOut.into(),
@@ -610,6 +621,11 @@
 }
 
 impl<U: Upstream> Owed<U> {
+    /// The request's number in its pool, as events name it.
+    pub fn id(&self) -> u64 {
+        self.id.0
+    }
+
     /// The one final answer, no later than [`ANSWER_RESERVE`] before the client stops waiting: that promise does not
     /// hang on the module. `whole` is called when the last of a request has come that was submitted before that.
     pub async fn answer(mut self, mut whole: impl FnMut()) -> Final<U::Answer> {
--- a/crates/engine/src/servers.rs
+++ b/crates/engine/src/servers.rs
@@ -3,6 +3,7 @@
 use crate::membership::{List, Member, State};
 use crate::upstream::Place;
 use heronhoist_decision::{CellId, KindId, Listed, ServerId, Status, Time, ZoneId};
+use rustc_hash::FxHashMap;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -56,7 +57,7 @@
 
 /// All servers that a pool knows.
 pub(crate) struct Servers<A> {
-    servers: HashMap<ServerId, Server<A>>,
+    servers: FxHashMap<ServerId, Server<A>>,
     ids: HashMap<String, ServerId>,
     /// No number is given twice, so that nothing of a server that has left falls to another.
     next: u32,
@@ -67,7 +68,7 @@
 impl<A: Clone + PartialEq> Servers<A> {
     pub(crate) fn new(names: &ServerNames) -> Self {
         let (zones, kinds) = (Numbers::new(&names.zones), Numbers::new(&names.kinds));
-        Servers { servers: HashMap::new(), ids: HashMap::new(), next: 0, zones, kinds }
+        Servers { servers: FxHashMap::default(), ids: HashMap::new(), next: 0, zones, kinds }
     }
 
     /// The number of a zone by its name, whichever settings named it first.
