Add the lab: scenarios played against the engine in simulated time, judged from outside

The judge reads a ledger of what was offered, sent, run and answered; each rule has a planted fault that it alone must catch. Plain policies stand beside. Pools can begin at a given time, and a run repeats to the byte by its seed. The lab is no default member, so the agent is not built with paused time.

--- a/check.sh
+++ b/check.sh
@@ -7,3 +7,7 @@
 cargo clippy --workspace --all-targets --locked -- -D warnings
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked
 cargo test --workspace --locked
+# The lab plays short scenarios with fixed seeds; rules and least services must hold.
+for scenario in scenarios/*.toml; do
+    cargo run --quiet --locked -p heronhoist-lab -- run "$scenario" --seeds 1..2
+done
--- a/crates/agent/src/lanes.rs
+++ b/crates/agent/src/lanes.rs
@@ -194,6 +194,7 @@
             names: plan.names.clone(),
             known,
             known_stands,
+            epoch: None,
             upstream,
             requests: self.requests.part(),
         };
--- a/crates/engine/src/clock.rs
+++ b/crates/engine/src/clock.rs
@@ -12,9 +12,10 @@
 }
 
 impl Clock {
-    pub(crate) fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { unix_us: unix.as_micros() as u64, start: Instant::now() }
+    /// From this time on; by the system's clock if none is given.
+    pub(crate) fn new(epoch: Option<Time>) -> Self {
+        let system = || SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        Clock { unix_us: epoch.map_or_else(system, |epoch| epoch.0), start: Instant::now() }
     }
 
     pub(crate) fn now(&self) -> Time {
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -174,6 +174,7 @@
                 let members = self.0.borrow_and_update().clone();
                 feed.listed(List { version, whole: true, members });
                 tokio::select! {
+                    biased;
                     changed = self.0.changed() => if changed.is_err() { std::future::pending::<()>().await },
                     () = feed.asked() => {}
                 }
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -117,6 +117,8 @@
     pub known: Option<List<U::Address>>,
     /// Whether the source's versions go on from that list's.
     pub known_stands: bool,
+    /// The time at which the pool begins, for a simulation; `None` for the system's clock.
+    pub epoch: Option<Time>,
     /// Speaks to the servers.
     pub upstream: U,
     /// How many requests the pool may owe an answer.
@@ -182,7 +184,7 @@
 impl<U: Upstream> Pool<U> {
     /// Starts a module with the list as it was last known. Nothing runs by itself until [`Pool::run`] does.
     pub fn new(setup: Setup<U>) -> Result<Self, SettingsError> {
-        let Setup { name, settings, seed, names, known, known_stands, upstream, requests } = setup;
+        let Setup { name, settings, seed, names, known, known_stands, epoch, upstream, requests } = setup;
         let max_attempts = Cell::new(settings.max_attempts);
         let drain_grace = Cell::new(Duration::from_micros(settings.drain_grace.0));
         let core = Core {
@@ -196,7 +198,7 @@
         let version = known.as_ref().filter(|_| known_stands).map(|list| list.version);
         let pool = Pool(Rc::new(Inner {
             name,
-            clock: Clock::new(),
+            clock: Clock::new(epoch),
             core: RefCell::new(core),
             actions: Cell::default(),
             timers_changed: Notify::new(),
@@ -698,6 +700,7 @@
             names: ServerNames::default(),
             known,
             known_stands: true,
+            epoch: None,
             upstream: Mute,
             requests: Quota::alone(most),
         })
--- a/crates/engine/tests/line/main.rs
+++ b/crates/engine/tests/line/main.rs
@@ -60,6 +60,7 @@
         names: ServerNames::default(),
         known: Some(List { version: 0, whole: true, members: lines }),
         known_stands: true,
+        epoch: None,
         upstream: Lines,
         requests: quota.part(),
     });
