Write whole exchanges and the reading of TOML in one place each

The engine's tests, the lines and the lab each spelled out an exchange without name or tenant, and two readers turned the same TOML error into a fault. Exchange::new and reader::tables serve them all; behaviour is as it was.

--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use toml::de::{DeTable, DeValue};
+use toml::de::DeValue;
 
 /// How log lines look.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -114,10 +114,7 @@
 
 /// Reads a file, with `environment` to look up what its addresses name.
 pub fn parse(text: &str, environment: Environment<'_>) -> Result<File, Vec<Fault>> {
-    let table = DeTable::parse(text).map_err(|e| {
-        let (line, column) = position(text, e.span().map_or(0, |span| span.start));
-        vec![Fault { line, column, key: String::new(), what: format!("no TOML: {}", e.message()) }]
-    })?;
+    let table = tables(text)?;
     let (mut reader, root) = Reader::new(text, &table, environment);
     let file = read(&mut reader, root);
     let mut faults = std::mem::take(&mut reader.faults);
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -167,8 +167,16 @@
     }
 }
 
+/// The tables of a text, or the one fault that it is no TOML.
+pub fn tables(text: &str) -> Result<Spanned<DeTable<'_>>, Vec<Fault>> {
+    DeTable::parse(text).map_err(|e| {
+        let (line, column) = position(text, e.span().map_or(0, |span| span.start));
+        vec![Fault { line, column, key: String::new(), what: format!("no TOML: {}", e.message()) }]
+    })
+}
+
 impl<'t> Reader<'t> {
-    /// Reads a text; `None` with its faults if it is no TOML.
+    /// Begins to read the [tables] of a text.
     pub fn new(
         text: &'t str,
         table: &'t Spanned<DeTable<'t>>,
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -69,6 +69,23 @@
     pub deadline: Option<Instant>,
 }
 
+impl<C> Exchange<C> {
+    /// A whole request whose client waits for so long from now on; without name, tenant, key or hint.
+    pub fn new(call: C, class: ClassId, budget: Duration) -> Self {
+        Exchange {
+            call,
+            name: None,
+            class,
+            tenant: None,
+            key: None,
+            cost_hint: None,
+            repeat: false,
+            budget,
+            deadline: Some(Instant::now() + budget),
+        }
+    }
+}
+
 /// Why a request was not taken. Nothing of it has been sent; the front answers at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Declined {
@@ -708,18 +725,8 @@
     }
 
     fn exchange(name: &str) -> Exchange<Nothing> {
-        let budget = Duration::from_secs(60);
-        Exchange {
-            call: Nothing,
-            name: Some(name.as_bytes().into()),
-            class: ClassId(0),
-            tenant: None,
-            key: None,
-            cost_hint: None,
-            repeat: false,
-            budget,
-            deadline: Some(Instant::now() + budget),
-        }
+        let name = Some(name.as_bytes().into());
+        Exchange { name, ..Exchange::new(Nothing, ClassId(0), Duration::from_secs(60)) }
     }
 
     /// Guards the module's counts of what is in flight: a request that ends right after one of its attempts was
--- a/crates/engine/tests/line/line.rs
+++ b/crates/engine/tests/line/line.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, JoinHandle};
-use tokio::time::{timeout, Instant};
+use tokio::time::timeout;
 
 /// Far beyond anything that a sound engine needs.
 pub const BOUND: Duration = Duration::from_secs(20);
@@ -159,17 +159,8 @@
 
 /// A front in so many words: takes a line, gives its final answer.
 pub async fn ask(pool: &Pool<Lines>, name: &str, class: usize) -> Result<Final<String>, Declined> {
-    let budget = Duration::from_secs(5);
-    let owed = pool.submit(Exchange {
-        call: Line { name: name.into(), class },
-        name: Some(name.as_bytes().into()),
-        class: ClassId(class),
-        tenant: None,
-        key: None,
-        cost_hint: None,
-        repeat: false,
-        budget,
-        deadline: Some(Instant::now() + budget),
-    })?;
+    let call = Line { name: name.into(), class };
+    let exchange = Exchange::new(call, ClassId(class), Duration::from_secs(5));
+    let owed = pool.submit(Exchange { name: Some(name.as_bytes().into()), ..exchange })?;
     Ok(timeout(BOUND, owed.answer(|| {})).await.expect("an answer in time"))
 }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -3,10 +3,10 @@
 
 use crate::judge::Repeats;
 use crate::world::{Kind, Micros};
-use heronhoist_config::reader::{flag, number, position, text, whole, Absent, Reader, Section};
+use heronhoist_config::reader::{flag, number, tables, text, whole, Absent, Reader, Section};
 use heronhoist_config::Fault;
 use heronhoist_decision::{Class, Effect, Group, Settings, Span};
-use toml::de::{DeTable, DeValue};
+use toml::de::DeValue;
 
 /// A run, but for its seed.
 #[derive(Debug, Clone)]
@@ -84,10 +84,7 @@
 
 /// Reads a scenario.
 pub fn parse(source: &str) -> Result<Scenario, Vec<Fault>> {
-    let table = DeTable::parse(source).map_err(|e| {
-        let (line, column) = position(source, e.span().map_or(0, |span| span.start));
-        vec![Fault { line, column, key: String::new(), what: format!("no TOML: {}", e.message()) }]
-    })?;
+    let table = tables(source)?;
     let (mut reader, root) = Reader::new(source, &table, &|_| None);
     let scenario = read(&mut reader, root);
     let mut faults = reader.faults;
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -270,17 +270,7 @@
 }
 
 async fn ask(pool: &Pool<Simulated>, call: Call, class: usize, budget: Duration) -> Answer {
-    let owed = pool.submit(Exchange {
-        call,
-        name: None,
-        class: ClassId(class),
-        tenant: None,
-        key: None,
-        cost_hint: None,
-        repeat: false,
-        budget,
-        deadline: Some(Instant::now() + budget),
-    });
+    let owed = pool.submit(Exchange::new(call, ClassId(class), budget));
     match owed {
         Err(_) => Answer::Refused,
         Ok(owed) => match owed.answer(|| {}).await {
