Let probes ask the gate like attempts, and restore the test that a shut gate writes nothing

The move to the engine let the HTTP upstream's probes go round the gate by an Option, and dropped its test that nothing is written once it may not be sent, since a gate could not be made outside the engine. Gate::new is public now: a probe's gate is always open, and the test is back with its assertions. Behaviour is as it was.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,8 +22,6 @@
 use std::time::Duration;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-use std::cell::Cell;
-
 /// The most that is read for an answer that is held whole: a body in small chunks, its head, and what may come ahead.
 const ANSWER_MOST: u64 = 4 * HELD_MOST as u64;
 /// A backend that takes nothing of a request for this long gets no more of it.
@@ -160,7 +158,7 @@
     type Answer = Served;
 
     async fn attempt(&self, place: Place, call: &Call, gate: Gate<'_>) -> Ended {
-        self.0.attempt(place, call, gate.until, Some(&gate)).await
+        self.0.attempt(place, call, &gate).await
     }
 
     async fn probe(&self, place: Place) -> Ended {
@@ -177,14 +175,14 @@
 }
 
 impl Inner {
-    /// Sends one attempt, or a probe, which nothing but its time can stop.
-    async fn attempt(&self, place: Place, call: &Call, until: Instant, gate: Option<&Gate<'_>>) -> Ended {
+    /// Sends one attempt or a probe.
+    async fn attempt(&self, place: Place, call: &Call, gate: &Gate<'_>) -> Ended {
         loop {
             let mut lease = match self.connections.lease(place).await {
                 Ok(lease) => lease,
                 Err(outcome) => return outcome.into(),
             };
-            if gate.is_some_and(|gate| !gate.open()) {
+            if !gate.open() {
                 self.connections.give_back(place, lease);
                 return Outcome::NotSent.into();
             }
@@ -204,7 +202,7 @@
             let answer = tokio::select! {
                 biased;
                 () = counted => Err(Spoilt::Answer),
-                answer = self.exchange(&mut lease, message(call, place.address, until)) => answer,
+                answer = self.exchange(&mut lease, message(call, place.address, gate.until)) => answer,
                 () = stuck(&view) => Err(Spoilt::Stuck),
             };
             let written = view.written() - before;
@@ -229,11 +227,7 @@
                 // A pooled connection that ended before anything was written to it says nothing of the server,
                 // and no attempt was made: take the next one. A new one that ends so does say something, and
                 // to go on would be a storm of connections.
-                Err(Spoilt::Connection) if !lease.is_fresh() && written == 0 => {
-                    if let Some(gate) = gate {
-                        gate.nothing_was_sent();
-                    }
-                }
+                Err(Spoilt::Connection) if !lease.is_fresh() && written == 0 => gate.nothing_was_sent(),
                 Err(Spoilt::Stuck) => return Outcome::TimedOut.into(),
                 Ok(_) | Err(_) if !is_whole => return Outcome::ConnectFailed.into(),
                 Ok(_) | Err(_) => return Outcome::ConnectionReset.into(),
@@ -320,7 +314,10 @@
         let (method, budget) = (Method::GET, PROBE_WAIT);
         let call = Call { method, uri, headers, body, budget, counters: None, _portion: None };
         let until = Instant::now() + PROBE_WAIT;
-        let Ok(mut ended) = timeout_at(until, self.attempt(place, &call, until, None)).await else {
+        // Nothing but its time can stop a probe.
+        let sent = Cell::new(false);
+        let gate = Gate::new(&sent, &|| true, until);
+        let Ok(mut ended) = timeout_at(until, self.attempt(place, &call, &gate)).await else {
             return Outcome::TimedOut.into();
         };
         if let Some(Served { body: Content::Held(text, _), .. }) = ended.answer.take() {
@@ -463,9 +460,26 @@
     }
 
     async fn attempt_of(backends: &Inner, address: SocketAddr, body: usize) -> Outcome {
+        gated(backends, address, body, true).await
+    }
+
+    async fn gated(backends: &Inner, address: SocketAddr, body: usize, may_send: bool) -> Outcome {
         let place = Place { server: ServerId(0), address, life: 0 };
-        let until = Instant::now() + Duration::from_secs(60);
-        backends.attempt(place, &post(body), until, None).await.outcome
+        let (sent, lawful) = (Cell::new(false), || may_send);
+        let gate = Gate::new(&sent, &lawful, Instant::now() + Duration::from_secs(60));
+        backends.attempt(place, &post(body), &gate).await.outcome
+    }
+
+    /// The drain rule counts a send from its first byte: what was decided before may come too late to go.
+    #[tokio::test]
+    async fn nothing_is_written_once_it_may_not_be_sent() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let local = LocalSet::new();
+        assert_eq!(local.run_until(gated(&of(4, &[]), address, 9, false)).await, Outcome::NotSent);
+        drop(local);
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert_eq!(stream.read(&mut [0; 1]).await.unwrap_or(0), 0);
     }
 
     /// The cap on connections: when all are at work nothing more is opened, and the server is not blamed.
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -560,7 +560,7 @@
     ) -> Ended<U::Answer> {
         let (sent, server) = (Cell::new(false), place.server);
         let lawful = || self.0.core.borrow().servers.may_send(server, self.0.drain_grace.get());
-        let gate = Gate { sent: &sent, lawful: &lawful, until };
+        let gate = Gate::new(&sent, &lawful, until);
         let exchange = self.0.upstream.attempt(place, call, gate);
         let late = async {
             match call.arriving() {
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -66,13 +66,18 @@
 
 /// What an attempt has to ask before its first byte, and tell after it.
 pub struct Gate<'a> {
-    pub(crate) sent: &'a Cell<bool>,
-    pub(crate) lawful: &'a dyn Fn() -> bool,
+    sent: &'a Cell<bool>,
+    lawful: &'a dyn Fn() -> bool,
     /// When the attempt is called off as timed out.
     pub until: Instant,
 }
 
-impl Gate<'_> {
+impl<'a> Gate<'a> {
+    /// Open as long as `lawful` says so; `sent` shows whether a byte counts as written.
+    pub fn new(sent: &'a Cell<bool>, lawful: &'a dyn Fn() -> bool, until: Instant) -> Self {
+        Gate { sent, lawful, until }
+    }
+
     /// Whether this server may still be sent something new. Asked when the first byte could go, since a server may
     /// have been told to drain while a connection to it was on its way. If so, a byte counts as written from here on.
     pub fn open(&self) -> bool {
