--- a/check.sh
+++ b/check.sh
@@ -8,6 +8,12 @@
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked
 cargo test --workspace --locked
 # The lab plays short scenarios with fixed seeds; rules and least services must hold.
-for scenario in scenarios/*.toml; do
-    cargo run --quiet --locked -p heronhoist-lab -- run "$scenario" --seeds 1..2
+lab() {
+    cargo run --quiet --locked -p heronhoist-lab -- "$@"
+}
+lab check scenarios/*.toml
+for scenario in herd zone-cut rolling-release; do
+    lab run "scenarios/$scenario.toml" --seeds 1..2
 done
+# The real agent on sockets: what does not hang on how fast the machine is.
+lab run scenarios/smoke.toml --real --timeless
--- /dev/null
+++ b/crates/lab/src/record.rs
@@ -0,0 +1,236 @@
+//! What is kept of runs: a JSON file that other commands read.
+
+use crate::judge::{judge, served, worth, Answer, Verdict};
+use crate::policy::Policy;
+use crate::stage::World;
+use crate::world::Micros;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+/// Which way a run was played.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, clap::ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mode {
+    /// The engine in simulated time.
+    Virtual,
+    /// The real agent on loopback sockets.
+    Real,
+}
+
+/// How a run went.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Run {
+    /// The scenario's name.
+    pub scenario: String,
+    /// How it was played.
+    pub mode: Mode,
+    /// Who chose the servers.
+    pub policy: Policy,
+    /// What all draws came from.
+    pub seed: u64,
+    /// How many agents.
+    pub agents: usize,
+    /// How many servers.
+    pub servers: usize,
+    /// It was not interrupted.
+    pub whole: bool,
+    /// What the judge found.
+    pub verdict: Verdict,
+    /// What clients wanted,
+    pub calls: usize,
+    /// how often they tried,
+    pub tries: usize,
+    /// and how often agents sent.
+    pub sends: usize,
+    /// Connections opened to servers.
+    pub connects: u64,
+    /// The most that one server held at once.
+    pub most_open: usize,
+    /// Probes of servers.
+    pub probes: u64,
+    /// Lines of lists that discovery wrote.
+    pub lines: u64,
+    /// The greatest push on a cold server, in multiples of what it bears; it falls at 3.
+    pub worst_push: f64,
+    /// The most memory that an agent took, in real mode.
+    pub memory_mb: Option<f64>,
+    /// By class: what was served and in which time, from when each call was meant to be sent.
+    pub classes: Vec<ClassTimes>,
+    /// Second by second.
+    pub seconds_of: Vec<Slice>,
+    /// The servers' requests in flight, now and then, by milliseconds.
+    pub load: Vec<(u64, Vec<u32>)>,
+    /// What happened, by milliseconds.
+    pub marks: Vec<(u64, String)>,
+    /// A digest of the whole ledger, by which two runs can be told apart.
+    pub digest: String,
+    /// What it took to play.
+    pub seconds: f64,
+}
+
+/// Times of a class in milliseconds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ClassTimes {
+    /// Its name.
+    pub name: String,
+    /// Calls.
+    pub calls: usize,
+    /// Those that were served.
+    pub served: usize,
+    /// Half of them took no longer than this, and so on.
+    pub p50: f64,
+    /// 90 in 100.
+    pub p90: f64,
+    /// 99 in 100.
+    pub p99: f64,
+    /// 999 in 1000.
+    pub p999: f64,
+}
+
+/// One second of one class.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Slice {
+    /// Which second.
+    pub second: u64,
+    /// The class's place.
+    pub class: usize,
+    /// Calls that were meant to be sent in it.
+    pub calls: usize,
+    /// What their answers were worth.
+    pub worth: f64,
+    /// Of those that were served, in milliseconds.
+    pub p50: f64,
+    /// 99 in 100.
+    pub p99: f64,
+}
+
+/// A file of runs.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Record {
+    /// The form of this file.
+    pub format: u32,
+    /// All that was asked for has been played.
+    pub complete: bool,
+    /// In the order in which they were asked for.
+    pub runs: Vec<Run>,
+}
+
+/// The form of the file that is written.
+pub const FORMAT: u32 = 1;
+
+impl Record {
+    /// Writes the file so that a reader sees either the old one or the new one.
+    pub fn write(&self, path: &Path) -> Result<(), String> {
+        let text = serde_json::to_string(self).map_err(|e| format!("{}: {e}", path.display()))?;
+        let fresh = path.with_extension("part");
+        std::fs::write(&fresh, text)
+            .and_then(|()| std::fs::rename(&fresh, path))
+            .map_err(|e| format!("cannot write {}: {e}", path.display()))
+    }
+
+    /// Reads a file.
+    pub fn read(path: &Path) -> Result<Record, String> {
+        let text =
+            std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+        let record: Record = serde_json::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+        match record.format {
+            FORMAT => Ok(record),
+            other => Err(format!("{}: form {other}; this program reads {FORMAT}", path.display())),
+        }
+    }
+}
+
+fn times() -> Histogram<u64> {
+    Histogram::new(3).expect("three digits are kept")
+}
+
+fn ms(times: &Histogram<u64>, share: f64) -> f64 {
+    times.value_at_quantile(share) as f64 / 1e3
+}
+
+impl Run {
+    /// Judges what was written down.
+    pub fn told(world: &World, mode: Mode, policy: Policy, seed: u64, whole: bool) -> Run {
+        let scenario = &world.scenario;
+        let worst_push = world.worst_push();
+        let load = world.load.take().into_iter().map(|(at, load)| (at / 1000, load)).collect();
+        let ledger = world.close();
+        let aims: Vec<_> = scenario.classes.iter().map(|class| (class.aim, class.deadline)).collect();
+        // FNV-1a over all that happened.
+        let mut digest = 0xcbf2_9ce4_8422_2325_u64;
+        let mut mix = |value: u64| digest = (digest ^ value).wrapping_mul(0x0100_0000_01b3);
+        for t in &ledger.tries {
+            for (at, answer) in &t.answers {
+                mix(*at);
+                mix(match answer {
+                    Answer::Served => 1,
+                    Answer::Failed => 2,
+                    Answer::Refused(wait) => 3 + wait.unwrap_or(0),
+                });
+            }
+        }
+        ledger
+            .sends
+            .iter()
+            .for_each(|(at, server, agent)| mix(at ^ ((*server as u64) << 40) ^ ((*agent as u64) << 52)));
+        let mut all: Vec<_> = scenario.classes.iter().map(|_| (0, 0, times())).collect();
+        let mut slices: std::collections::BTreeMap<(Micros, usize), (usize, f64, Histogram<u64>)> =
+            Default::default();
+        for (call, at) in ledger.calls.iter().zip(served(&ledger)) {
+            let class = &mut all[call.class];
+            let slice = slices.entry((call.at / 1_000_000, call.class)).or_insert_with(|| (0, 0.0, times()));
+            class.0 += 1;
+            slice.0 += 1;
+            slice.1 += worth(call, at, aims[call.class]);
+            if let Some(at) = at {
+                class.1 += 1;
+                let took = at.saturating_sub(call.at).max(1);
+                let _ = class.2.record(took);
+                let _ = slice.2.record(took);
+            }
+        }
+        let classes = scenario.classes.iter().zip(all).map(|(class, (calls, served, times))| ClassTimes {
+            name: class.name.clone(),
+            calls,
+            served,
+            p50: ms(&times, 0.5),
+            p90: ms(&times, 0.9),
+            p99: ms(&times, 0.99),
+            p999: ms(&times, 0.999),
+        });
+        let seconds_of = slices.into_iter().map(|((second, class), (calls, worth, times))| Slice {
+            second,
+            class,
+            calls,
+            worth,
+            p50: ms(&times, 0.5),
+            p99: ms(&times, 0.99),
+        });
+        Run {
+            scenario: scenario.name.clone(),
+            mode,
+            policy,
+            seed,
+            agents: scenario.agents,
+            servers: scenario.fleet.servers,
+            whole,
+            verdict: judge(&ledger, &aims, scenario.settings.drain_grace.0, &scenario.holds),
+            calls: ledger.calls.len(),
+            tries: ledger.tries.len(),
+            sends: ledger.sends.len(),
+            connects: ledger.connects,
+            most_open: ledger.most_open,
+            probes: ledger.probes,
+            lines: ledger.lines,
+            worst_push,
+            memory_mb: ledger.memory_mb,
+            classes: classes.collect(),
+            seconds_of: seconds_of.collect(),
+            load,
+            marks: scenario.events.iter().map(|event| (event.at / 1000, event.label())).collect(),
+            digest: format!("{digest:016x}"),
+            seconds: 0.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/registry.rs
@@ -0,0 +1,167 @@
+//! Discovery as it really is, without I/O: lists with versions, written by something that has only so much room, and that
+//! can be down.
+
+use crate::world::Micros;
+use heronhoist_engine::State;
+
+/// A line of the list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Line {
+    /// Its name; another machine at the same address has another.
+    pub name: String,
+    /// The server that listens at its address.
+    pub server: usize,
+    /// Its building.
+    pub building: u32,
+    /// What it does.
+    pub state: State,
+    /// When it last started, if that was in this run.
+    pub started: Option<Micros>,
+    /// The version that changed it last.
+    pub version: i64,
+}
+
+/// Discovery.
+#[derive(Debug, Clone)]
+pub struct Registry {
+    lines: Vec<Line>,
+    /// Servers at the beginning; each replacement adds a line.
+    first: usize,
+    version: i64,
+    lines_per_s: Option<f64>,
+    busy_until: Micros,
+    down: bool,
+    /// Lines that it has written.
+    pub written: u64,
+}
+
+/// A call that would be answered later than this is turned away.
+const MOST_BEHIND: Micros = 5_000_000;
+
+impl Registry {
+    /// All servers serve, each for long.
+    pub fn new(servers: usize, buildings: usize, lines_per_s: Option<f64>) -> Self {
+        let line = |server: usize| Line {
+            name: format!("s{server}"),
+            server,
+            building: building(server, servers, buildings),
+            state: State::Serving,
+            started: None,
+            version: 1,
+        };
+        let lines = (0..servers).map(line).collect();
+        Registry { lines, first: servers, version: 1, lines_per_s, busy_until: 0, down: false, written: 0 }
+    }
+
+    /// What the machine at this address does.
+    pub fn state(&self, server: usize) -> State {
+        // Until one was replaced, each stands at its own place.
+        match self
+            .lines
+            .get(server)
+            .filter(|line| line.state != State::Gone || self.lines.len() == self.first)
+        {
+            Some(line) => line.state,
+            None => {
+                self.lines.iter().rev().find(|line| line.server == server).map_or(State::Gone, |l| l.state)
+            }
+        }
+    }
+
+    /// The newest version.
+    pub fn version(&self) -> i64 {
+        self.version
+    }
+
+    /// All lines but those of servers that left before this version; all that ever were if it is `None`.
+    pub fn since(&self, version: Option<i64>) -> Vec<Line> {
+        match version {
+            Some(from) => self.lines.iter().filter(|line| line.version > from).cloned().collect(),
+            None => self.lines.iter().filter(|line| line.state != State::Gone).cloned().collect(),
+        }
+    }
+
+    /// The machine at this address changes; returns the version that says so.
+    pub fn set(&mut self, server: usize, state: State, started: Option<Micros>) -> i64 {
+        self.version += 1;
+        let version = self.version;
+        if let Some(line) = self.lines.iter_mut().rev().find(|line| line.server == server) {
+            (line.state, line.version) = (state, version);
+            line.started = started.or(line.started);
+        }
+        version
+    }
+
+    /// The machine at this address has left, and another has come; returns the version that says so.
+    pub fn replace(&mut self, server: usize, now: Micros) -> i64 {
+        let version = self.set(server, State::Gone, None);
+        let Some(old) = self.lines.iter().rev().find(|line| line.server == server).cloned() else {
+            return version;
+        };
+        let name = format!("s{server}-{version}");
+        self.lines.push(Line { name, state: State::Serving, started: Some(now), version, ..old });
+        version
+    }
+
+    /// Goes down, or comes back.
+    pub fn set_down(&mut self, down: bool) {
+        self.down = down;
+    }
+
+    /// Whether it says anything.
+    pub fn is_down(&self) -> bool {
+        self.down
+    }
+
+    /// When an answer of so many lines is written; `None` if it turns the call away for want of room.
+    pub fn answer(&mut self, now: Micros, lines: usize) -> Option<Micros> {
+        let Some(rate) = self.lines_per_s else {
+            self.written += lines as u64;
+            return Some(now);
+        };
+        let begin = self.busy_until.max(now);
+        if begin - now > MOST_BEHIND {
+            return None;
+        }
+        self.written += lines as u64;
+        // Even an empty answer is work.
+        self.busy_until = begin + (lines.max(1) as f64 / rate * 1e6) as Micros;
+        Some(self.busy_until)
+    }
+}
+
+/// The building in which a server stands: they are filled one after the other.
+pub fn building(server: usize, servers: usize, buildings: usize) -> u32 {
+    (server / servers.div_ceil(buildings).max(1)) as u32
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lists_have_versions_and_a_replacement_has_a_name_of_its_own() {
+        let mut registry = Registry::new(4, 2, None);
+        assert_eq!(registry.since(None).iter().map(|l| l.building).collect::<Vec<_>>(), [0, 0, 1, 1]);
+        assert_eq!(registry.set(1, State::Draining, None), 2);
+        assert_eq!(registry.replace(1, 77), 3);
+        let changed = registry.since(Some(2));
+        assert_eq!(
+            changed.iter().map(|l| (l.name.as_str(), l.state)).collect::<Vec<_>>(),
+            [("s1", State::Gone), ("s1-3", State::Serving)]
+        );
+        assert_eq!((registry.since(None).len(), registry.since(Some(3)).len()), (4, 0));
+        registry.set(1, State::Draining, None);
+        assert_eq!(registry.since(Some(3))[0].name, "s1-3");
+    }
+
+    #[test]
+    fn it_writes_so_many_lines_a_second_and_turns_floods_away() {
+        let mut registry = Registry::new(4, 1, Some(100.0));
+        assert_eq!(registry.answer(0, 10), Some(100_000));
+        assert_eq!(registry.answer(0, 10), Some(200_000));
+        assert_eq!(registry.answer(0, 600), Some(6_200_000));
+        assert_eq!((registry.answer(0, 1), registry.written), (None, 620));
+        assert_eq!(registry.answer(6_000_000, 10), Some(6_300_000));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,192 @@
+//! One HTML file about runs, with everything in it: it loads nothing and can be sent around.
+
+use crate::record::{Record, Run};
+use plotters::prelude::*;
+use std::fmt::Write;
+
+const SIZE: (u32, u32) = (960, 260);
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+type Lines = Vec<(String, Vec<(f64, f64)>)>;
+
+/// Lines over time, with a mark for each thing that happened.
+fn plot(lines: &Lines, marks: &[(u64, String)], most: f64, unit: &str) -> Result<String, String> {
+    let mut svg = String::new();
+    let fail = |e: &dyn std::fmt::Display| format!("cannot plot: {e}");
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let end = lines.iter().flat_map(|(_, points)| points.last()).map(|(x, _)| *x).fold(1.0, f64::max);
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .x_label_area_size(28)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..end, 0.0..most.max(1e-9))
+            .map_err(|e| fail(&e))?;
+        chart
+            .configure_mesh()
+            .disable_x_mesh()
+            .x_desc("seconds")
+            .y_desc(unit)
+            .draw()
+            .map_err(|e| fail(&e))?;
+        for (at, label) in marks {
+            let x = *at as f64 / 1000.0;
+            let line = [(x, 0.0), (x, most)];
+            chart
+                .draw_series(LineSeries::new(line, RED.mix(if label.contains("drain") { 0.25 } else { 0.5 })))
+                .map_err(|e| fail(&e))?;
+        }
+        let labelled = lines.len() <= 8;
+        for (n, (name, points)) in lines.iter().enumerate() {
+            let colour = if labelled { Palette99::pick(n).to_rgba() } else { Palette99::pick(n).mix(0.4) };
+            let series =
+                chart.draw_series(LineSeries::new(points.iter().copied(), &colour)).map_err(|e| fail(&e))?;
+            if labelled {
+                series.label(name).legend(move |(x, y)| PathElement::new([(x, y), (x + 14, y)], colour));
+            }
+        }
+        if labelled {
+            chart.configure_series_labels().background_style(WHITE.mix(0.8)).draw().map_err(|e| fail(&e))?;
+        }
+        area.present().map_err(|e| fail(&e))?;
+    }
+    Ok(svg)
+}
+
+fn by_class(run: &Run, figure: impl Fn(&crate::record::Slice) -> f64) -> Lines {
+    let line = |(class, times): (usize, &crate::record::ClassTimes)| {
+        let of_class = run.seconds_of.iter().filter(|slice| slice.class == class);
+        (times.name.clone(), of_class.map(|slice| (slice.second as f64, figure(slice))).collect())
+    };
+    run.classes.iter().enumerate().map(line).collect()
+}
+
+fn most(lines: &Lines) -> f64 {
+    lines.iter().flat_map(|(_, points)| points).map(|(_, y)| *y).fold(0.0, f64::max) * 1.05
+}
+
+fn section(run: &Run) -> Result<String, String> {
+    let mut html = String::new();
+    let service = &run.verdict.service;
+    let _ = write!(
+        html,
+        "<h2>{}, {} by {}, seed {}</h2><p class=\"{}\">{}{}</p>",
+        escape(&run.scenario),
+        format!("{:?}", run.mode).to_lowercase(),
+        run.policy.name(),
+        run.seed,
+        if run.verdict.held() { "held" } else { "broken" },
+        escape(&run.verdict.words()),
+        if run.whole { "" } else { " (interrupted: what came before is shown)" }
+    );
+    let rows = [
+        ("agents, servers", format!("{}, {}", run.agents, run.servers)),
+        (
+            "service: whole, worst 10 s, worst class, worst tenant",
+            format!(
+                "{:.3}, {:.3}, {:.3}, {:.3}",
+                service.whole, service.worst_window, service.worst_class, service.worst_tenant
+            ),
+        ),
+        ("calls, tries, sends", format!("{}, {}, {}", run.calls, run.tries, run.sends)),
+        (
+            "connections opened, most at one server, probes",
+            format!("{}, {}, {}", run.connects, run.most_open, run.probes),
+        ),
+        ("lines of lists written by discovery", run.lines.to_string()),
+        ("worst push on a cold server (it falls at 3)", format!("{:.2}", run.worst_push)),
+        (
+            "advised waits that proved true",
+            run.verdict.waits_kept.map_or("none were put to the proof".into(), |kept| format!("{kept:.3}")),
+        ),
+        ("most memory of an agent", run.memory_mb.map_or("not measured".into(), |mb| format!("{mb:.1} MB"))),
+    ];
+    html += "<table>";
+    for (name, value) in rows {
+        let _ = write!(html, "<tr><th>{name}</th><td>{}</td></tr>", escape(&value));
+    }
+    html += "</table><table><tr><th>class</th><th>calls</th><th>served</th><th>p50 ms</th><th>p90</th><th>p99</th><th>p99.9</th></tr>";
+    for class in &run.classes {
+        let _ = write!(
+            html,
+            "<tr><td>{}</td><td>{}</td><td>{}</td><td>{:.1}</td><td>{:.1}</td><td>{:.1}</td><td>{:.1}</td></tr>",
+            escape(&class.name),
+            class.calls,
+            class.served,
+            class.p50,
+            class.p90,
+            class.p99,
+            class.p999
+        );
+    }
+    html += "</table>";
+    let goodput = by_class(run, |slice| slice.worth);
+    let p50 = by_class(run, |slice| slice.p50);
+    let p99 = by_class(run, |slice| slice.p99);
+    let servers = run.load.first().map_or(0, |(_, load)| load.len());
+    let load: Lines = (0..servers)
+        .map(|server| {
+            let points = run.load.iter().map(|(at, load)| (*at as f64 / 1000.0, f64::from(load[server])));
+            (format!("server {server}"), points.collect())
+        })
+        .collect();
+    for (title, lines, unit) in [
+        ("Goodput by class: worth of what was sent in each second", goodput, "a second"),
+        ("Latency by class, p50, by the second in which a call was meant to be sent", p50, "ms"),
+        ("Latency by class, p99", p99, "ms"),
+        ("Requests held by each server", load, "requests"),
+    ] {
+        let _ = write!(html, "<h3>{title}</h3>{}", plot(&lines, &run.marks, most(&lines), unit)?);
+    }
+    html += "<h3>What happened</h3><ol>";
+    for (at, label) in &run.marks {
+        let _ = write!(html, "<li>{:.1} s: {}</li>", *at as f64 / 1000.0, escape(label));
+    }
+    html += "</ol>";
+    Ok(html)
+}
+
+/// At most so many runs are shown one by one.
+const SHOWN: usize = 12;
+
+/// The whole page.
+pub fn html(record: &Record) -> Result<String, String> {
+    let mut html = String::from(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>heronhoist-lab</title><style>\
+         body{font:14px sans-serif;max-width:1000px;margin:2em auto}table{border-collapse:collapse;margin:1em 0}\
+         td,th{border:1px solid #ccc;padding:3px 8px;text-align:left}.held{color:#060}.broken{color:#b00;font-weight:bold}\
+         </style><h1>heronhoist-lab</h1>",
+    );
+    if !record.complete {
+        html += "<p class=\"broken\">Not all that was asked for has been played.</p>";
+    }
+    html += "<table><tr><th>scenario</th><th>mode</th><th>policy</th><th>seed</th><th>whole</th><th>worst 10 s</th><th>worst class</th><th>verdict</th></tr>";
+    for run in &record.runs {
+        let service = &run.verdict.service;
+        let _ = write!(
+            html,
+            "<tr><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{:.3}</td><td>{:.3}</td><td>{:.3}</td><td>{}</td></tr>",
+            escape(&run.scenario),
+            format!("{:?}", run.mode).to_lowercase(),
+            run.policy.name(),
+            run.seed,
+            service.whole,
+            service.worst_window,
+            service.worst_class,
+            escape(&run.verdict.words())
+        );
+    }
+    html +=
+        "</table><p>Red lines are what happened to servers, agents and discovery; faint ones are drains.</p>";
+    for run in record.runs.iter().take(SHOWN) {
+        html += &section(run)?;
+    }
+    if record.runs.len() > SHOWN {
+        let _ = write!(html, "<p>{} more runs are in the table only.</p>", record.runs.len() - SHOWN);
+    }
+    html += "</html>\n";
+    Ok(html)
+}
