Leave a cold server that turns requests away alone for a while

What a full server turns away comes back at once, so it holds no place in flight, and the limit by requests in flight bounds nothing; yet it is work that pushes a cold server.

After a refusal a cold server counts as without room for the usual answer time over its warmth.

The new test fails without the change (200 sends a second against at most 20).

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -227,6 +227,8 @@
     sent_since: u32,
     /// When the probe that is out was sent.
     probed_at: Option<Time>,
+    /// It was cold and full: what it turns away pushes it too, so it is left alone until then.
+    full_until: Time,
     /// When the list first said that it has left.
     gone_at: Option<Time>,
 }
@@ -247,6 +249,7 @@
             reported_at: None,
             sent_since: 0,
             probed_at: None,
+            full_until: now,
             gone_at: None,
         }
     }
@@ -675,6 +678,9 @@
     /// Room by the reported load or, where balancers are few, by the learned limit.
     fn has_room(&self, now: Time, server: usize) -> bool {
         let s = &self.servers[server];
+        if now < s.full_until {
+            return false;
+        }
         if self.is_light() {
             return !self.is_known(now, server) || s.reported + f64::from(s.sent_since) < self.most_told();
         }
@@ -888,6 +894,7 @@
     // ---- what is learned of servers -----------------------------------------------------------------
 
     fn learn(&mut self, now: Time, flight: &Flight, outcome: Outcome, elapsed: Span, out: &mut Vec<Action>) {
+        let warmth = self.warmth(&self.servers[flight.server], now);
         let Some(known) = self.classes.get_mut(&flight.class) else { return };
         let aim = known.class.aim.ms();
         let s = &mut self.servers[flight.server];
@@ -907,7 +914,12 @@
                 lean(&mut s.stretch, (used / known.pace.max(0.001)).clamp(0.05, 8.0));
             }
             // A full server is no sick one: it is only sent less.
-            Outcome::Rejected => s.last_answer = now,
+            Outcome::Rejected => {
+                s.last_answer = now;
+                if warmth < 1.0 {
+                    s.full_until = now + Span::from_ms(known.usual()) * (1.0 / warmth.max(0.01));
+                }
+            }
             Outcome::ConnectFailed => s.failures += 1,
             _ => (s.failures, s.last_answer) = (s.failures + 1, now),
         }
--- a/crates/decision/tests/cold_server_not_pushed_over.rs
+++ b/crates/decision/tests/cold_server_not_pushed_over.rs
@@ -96,6 +96,32 @@
     assert!(sent <= 8, "{sent} sent at once to four servers at a fifth of their capacity");
 }
 
+/// What a full server turns away at once holds no place, and pushes it all the same: it is left alone for as long as it
+/// needs to have one again. A warm one is not.
+#[test]
+fn a_cold_server_that_is_full_is_left_alone_for_a_while() {
+    let sends = |started: bool| {
+        let mut rig = Rig::new(Settings { max_attempts: 1, ..settings() }, 4);
+        let start = rig.now;
+        rig.list(
+            fleet(1, 1, 1).into_iter().map(|l| Listed { started: started.then_some(start), ..l }).collect(),
+        );
+        let mut sent = 0;
+        for _ in 0..200 {
+            let (id, to) = rig.ask(0);
+            if to.is_some() {
+                sent += 1;
+                rig.answer(id, 0, Outcome::Rejected, 1.0);
+            }
+            rig.wait(Span::from_ms(5.0));
+        }
+        sent
+    };
+    let (cold, warm) = (sends(true), sends(false));
+    assert!(cold <= 20, "{cold} sends in a second to a server that is cold and full");
+    assert!(warm > 3 * cold, "{warm} to a warm one, {cold} to a cold one");
+}
+
 /// The clock may start near zero; that is no restart.
 #[test]
 fn a_clock_near_zero_makes_no_server_cold() {
--- a/crates/lab/src/real.rs
+++ b/crates/lab/src/real.rs
@@ -305,7 +305,8 @@
     /// Grows whenever a process of it is killed.
     killed: Cell<u32>,
     known: RefCell<String>,
-    clients: RefCell<Vec<Line>>,
+    /// Its clients' connections that rest, and which try each carried last.
+    clients: RefCell<Vec<(Line, usize)>>,
     peak_kb: Cell<u64>,
     /// Keeps the address ours between its processes.
     _held: Held,
@@ -481,7 +482,13 @@
             let kept = slot.clients.borrow_mut().pop();
             let reused = kept.is_some();
             let mut line = match kept {
-                Some(line) => line,
+                Some((line, last)) if line.has_more() => {
+                    // Whatever comes after an answer is a second one.
+                    let now = self.world.now();
+                    self.world.ledger.borrow_mut().tries[last].answers.push((now, Answer::Failed));
+                    continue;
+                }
+                Some((line, _)) => line,
                 None => match TcpStream::connect(slot.address).await {
                     Ok(stream) => Line::new(stream),
                     Err(_) => return Reply::Unreachable,
@@ -494,7 +501,7 @@
             match answer {
                 Ok(Some(answer)) => {
                     if !answer.last {
-                        slot.clients.borrow_mut().push(line);
+                        slot.clients.borrow_mut().push((line, ask.number));
                     }
                     let wait = answer.header("retry-after").and_then(|value| value.parse::<f64>().ok());
                     return Reply::Answer(match answer.status {
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -63,6 +63,9 @@
     pub load: Vec<(u64, Vec<u32>)>,
     /// What happened, by milliseconds.
     pub marks: Vec<(u64, String)>,
+    #[serde(default)]
+    /// Tries and their answers, sends and their ends, connections, probes, lists told: what was simulated.
+    pub events: u64,
     /// A digest of the whole ledger, by which two runs can be told apart.
     pub digest: String,
     /// What it took to play.
@@ -229,6 +232,10 @@
             seconds_of: seconds_of.collect(),
             load,
             marks: scenario.events.iter().map(|event| (event.at / 1000, event.label())).collect(),
+            events: (2 * (ledger.tries.len() + ledger.sends.len())) as u64
+                + ledger.connects
+                + ledger.probes
+                + ledger.told.iter().map(Vec::len).sum::<usize>() as u64,
             digest: format!("{digest:016x}"),
             seconds: 0.0,
         }
--- a/crates/lab/src/registry.rs
+++ b/crates/lab/src/registry.rs
@@ -25,8 +25,8 @@
 #[derive(Debug, Clone)]
 pub struct Registry {
     lines: Vec<Line>,
-    /// Servers at the beginning; each replacement adds a line.
-    first: usize,
+    /// By address: which version brought which state.
+    past: Vec<Vec<(i64, State)>>,
     version: i64,
     lines_per_s: Option<f64>,
     busy_until: Micros,
@@ -50,22 +50,21 @@
             version: 1,
         };
         let lines = (0..servers).map(line).collect();
-        Registry { lines, first: servers, version: 1, lines_per_s, busy_until: 0, down: false, written: 0 }
+        Registry {
+            lines,
+            past: vec![Vec::new(); servers],
+            version: 1,
+            lines_per_s,
+            busy_until: 0,
+            down: false,
+            written: 0,
+        }
     }
 
-    /// What the machine at this address does.
-    pub fn state(&self, server: usize) -> State {
-        // Until one was replaced, each stands at its own place.
-        match self
-            .lines
-            .get(server)
-            .filter(|line| line.state != State::Gone || self.lines.len() == self.first)
-        {
-            Some(line) => line.state,
-            None => {
-                self.lines.iter().rev().find(|line| line.server == server).map_or(State::Gone, |l| l.state)
-            }
-        }
+    /// What the machine at this address did by this version.
+    pub fn state(&self, server: usize, version: i64) -> State {
+        let past = self.past.get(server).map_or(&[][..], Vec::as_slice);
+        past.iter().rev().find(|(at, _)| *at <= version).map_or(State::Serving, |(_, state)| *state)
     }
 
     /// The newest version.
@@ -89,6 +88,9 @@
             (line.state, line.version) = (state, version);
             line.started = started.or(line.started);
         }
+        if let Some(past) = self.past.get_mut(server) {
+            past.push((version, state));
+        }
         version
     }
 
@@ -99,6 +101,9 @@
             return version;
         };
         let name = format!("s{server}-{version}");
+        if let Some(past) = self.past.get_mut(server) {
+            past.push((version, State::Serving));
+        }
         self.lines.push(Line { name, state: State::Serving, started: Some(now), version, ..old });
         version
     }
@@ -153,6 +158,8 @@
         assert_eq!((registry.since(None).len(), registry.since(Some(3)).len()), (4, 0));
         registry.set(1, State::Draining, None);
         assert_eq!(registry.since(Some(3))[0].name, "s1-3");
+        let states = [1, 2, 3, 4].map(|version| registry.state(1, version));
+        assert_eq!(states, [State::Serving, State::Draining, State::Serving, State::Draining]);
     }
 
     #[test]
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -322,6 +322,7 @@
     let late = reader.get(&mut fleet, "reports_late_ms", Absent::Default(0), "milliseconds", ms_or_none);
     let cold_share = reader.get(&mut fleet, "cold_share", Absent::Default(0.2), "0 to 1", share);
     let warm_after = reader.get(&mut fleet, "warm_after_ms", Absent::Default(20_000_000), MS, ms);
+    let warm_work = reader.get(&mut fleet, "warm_work_ms", Absent::Nothing, MS, ms);
     let one_way = reader.get(&mut fleet, "one_way_ms", Absent::Default(500), MS, ms);
     let mut part = |key, absent, wanted, read: fn(&DeValue<'_>) -> Option<f64>| {
         reader.get(&mut fleet, key, Absent::Default(absent), wanted, read)
@@ -340,6 +341,7 @@
         reports_late: late?,
         cold_share: cold_share?,
         warm_after: warm_after?,
+        warm_work,
         overload_factor: 3.0,
         fall_after: 3_000_000,
     };
--- a/crates/lab/src/wire.rs
+++ b/crates/lab/src/wire.rs
@@ -50,6 +50,11 @@
         let _ = socket2::SockRef::from(&self.stream).set_linger(Some(std::time::Duration::ZERO));
     }
 
+    /// Something has come that was not asked for.
+    pub fn has_more(&self) -> bool {
+        !self.rest.is_empty() || matches!(self.stream.try_read(&mut [0]), Ok(1))
+    }
+
     /// Reads until there is something of the next message; false at the end.
     pub async fn begin(&mut self) -> io::Result<bool> {
         Ok(!self.rest.is_empty() || self.more().await?)
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -27,8 +27,10 @@
     pub reports_late: Micros,
     /// A server that has just started works at this share of its speed,
     pub cold_share: f64,
-    /// and is warm after this.
+    /// and is warm after this,
     pub warm_after: Micros,
+    /// or after so much work done, in microseconds, whichever comes first.
+    pub warm_work: Option<Micros>,
     /// A cold one that is sent this multiple of what it can do
     pub overload_factor: f64,
     /// for this long falls over.
@@ -74,6 +76,7 @@
 #[derive(Debug, Clone)]
 struct Running {
     job: Job,
+    work: Micros,
     ends: Micros,
 }
 
@@ -85,6 +88,8 @@
     life: u32,
     /// When it started, if that was in this run.
     started: Option<Micros>,
+    /// Work done in this life, in microseconds.
+    done: Micros,
     /// 1 for a machine that is as fast as its kind.
     pace: f64,
     /// Its work stands still since then.
@@ -116,6 +121,7 @@
             reach: Reach::Up,
             life: 0,
             started: None,
+            done: 0,
             pace: 1.0,
             choked: None,
             running: Vec::new(),
@@ -134,12 +140,15 @@
     pub fn warmth(&self, now: Micros) -> f64 {
         let Some(started) = self.started else { return 1.0 };
         let age = now.saturating_sub(started) as f64 / self.kind.warm_after.max(1) as f64;
+        let worked = self.kind.warm_work.map_or(0.0, |work| self.done as f64 / work.max(1) as f64);
+        let age = age.max(worked);
         (self.kind.cold_share + (1.0 - self.kind.cold_share) * age).min(1.0)
     }
 
-    /// What it can do in a second now, in seconds of work.
+    /// What one of its kind can do in a second now, in seconds of work. Agents can know its kind, and not that it has a
+    /// noisy neighbour.
     fn capacity(&self, now: Micros) -> f64 {
-        self.kind.cores as f64 * self.kind.speed * self.pace * self.warmth(now)
+        self.kind.cores as f64 * self.kind.speed * self.warmth(now)
     }
 
     /// Requests that it holds: at work and waiting.
@@ -233,7 +242,7 @@
             let speed =
                 self.kind.speed * self.pace * self.warmth(now) / (1.0 + self.kind.crowding * full.min(1.0));
             let ends = now + (work as f64 / speed.max(1e-6)).ceil() as Micros;
-            self.running.push(Running { job, ends });
+            self.running.push(Running { job, work, ends });
         }
     }
 
@@ -247,7 +256,9 @@
         let mut done = Vec::new();
         while let Some(ends) = self.next().filter(|ends| *ends <= now) {
             let at = self.running.iter().position(|running| running.ends == ends).unwrap_or(0);
-            done.push(self.running.remove(at).job);
+            let ended = self.running.remove(at);
+            self.done += ended.work;
+            done.push(ended.job);
             self.begin(ends);
         }
         done
@@ -292,6 +303,7 @@
         self.reach = Reach::Down;
         self.life += 1;
         self.open = 0;
+        self.done = 0;
         self.choked = None;
         self.sent = 0.0;
         self.running.clear();
@@ -377,6 +389,7 @@
             reports_late: 1000,
             cold_share: 0.2,
             warm_after: 20_000_000,
+            warm_work: None,
             overload_factor: 3.0,
             fall_after: 3_000_000,
         }
@@ -449,6 +462,11 @@
         assert_eq!((server.next(), server.life()), (Some(1_005_000), 1));
         assert!((server.warmth(11_000_000) - 0.6).abs() < 1e-9);
         assert_eq!(server.warmth(30_000_000), 1.0);
+        let mut server = Server::new(Kind { warm_work: Some(2000), ..kind() });
+        server.start(0);
+        server.offer(0, 1, 1000, true);
+        server.advance(5000);
+        assert!((server.warmth(5000) - 0.6).abs() < 1e-9, "half of the work that warms it");
     }
 
     #[test]
