--- a/check.sh
+++ b/check.sh
@@ -11,9 +11,11 @@
 lab() {
     cargo run --quiet --locked -p heronhoist-lab -- "$@"
 }
-lab check scenarios/*.toml
+lab check scenarios/*.toml scenarios/found/*.toml
 for scenario in herd zone-cut rolling-release; do
     lab run "scenarios/$scenario.toml" --seeds 1..2
 done
+# What hunt has found stays mended.
+lab run scenarios/found/cold-and-full.toml --seeds 1064
 # The real agent on sockets: what does not hang on how fast the machine is.
 lab run scenarios/smoke.toml --real --timeless
--- a/crates/lab/tests/cli.rs
+++ b/crates/lab/tests/cli.rs
@@ -44,6 +44,22 @@
     assert!(said.contains("3 pairs") && said.lines().count() == 7, "{said}");
 }
 
+fn digests(path: &Path) -> Vec<String> {
+    text(path).split("\"digest\":\"").skip(1).map(|rest| rest[..16].to_string()).collect()
+}
+
+#[test]
+fn runs_are_the_same_whatever_the_number_of_threads() {
+    let files = ["1", "3"].map(|threads| {
+        let out = file(&format!("threads-{threads}.json"));
+        let path = out.to_string_lossy().into_owned();
+        run(&["run", &scenario("zone-cut"), "--seeds", "1..4", "--threads", threads, "--out", &path]);
+        digests(&out)
+    });
+    assert_eq!(files[0].len(), 4);
+    assert_eq!(files[0], files[1]);
+}
+
 #[test]
 fn a_bad_file_is_told_with_its_places_and_plays_nothing() {
     let bad = file("bad.toml");
