Write what both modes of the lab share in one place, and compute it once

Both modes had their own waits for connections and lateness of lists, three clients wrote a request and read its answer each by themselves, the real mode timed two kinds of agents by a copy, discovery made its JSON once only to count lines, lists were copied before they were counted, and the module computed an answer's share of its target twice.

Line::ask, World::lateness, Stage::timed, Run::slowest_p99 and two constants of stage stand in their places; the share is computed once.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -943,8 +943,8 @@
             Outcome::Success => s.failing -= FAILING_GAIN * s.failing,
             _ => s.failing += FAILING_GAIN * (1.0 - s.failing),
         }
+        let share = used * TARGET / known.target();
         if used > 0.0 {
-            let share = used * TARGET / known.target();
             s.pace = if s.pace == 0.0 { share } else { s.pace + PACE_GAIN * (share - s.pace) };
             // Slower than the pace forgets, or its lag would drive the limit down too far; an answer past its
             // aim or a full queue is sure evidence and counts at once.
@@ -958,7 +958,7 @@
         if flight.trial {
             if outcome == Outcome::Success && used < 1.0 {
                 s.suspicion = None;
-                (s.pace, s.failures, s.stretch) = (used * TARGET / known.target(), 0, 1.0);
+                (s.pace, s.failures, s.stretch) = (share, 0, 1.0);
             } else if let Some(q) = &mut s.suspicion {
                 q.on_trial = false;
                 q.pause = (q.pause * 2.0).min(TRIAL_MOST);
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -142,11 +142,7 @@
             Some(line) => line,
             None => Line::new(TcpStream::connect(load.to).await?),
         };
-        let answer = match line.write(text.as_bytes()).await {
-            Ok(()) => line.read(true).await,
-            Err(e) => Err(e),
-        };
-        match answer {
+        match line.ask(text.as_bytes()).await {
             Ok(Some(answer)) => {
                 if !answer.last {
                     resting.borrow_mut().push(line);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -315,7 +315,6 @@
 
 fn line(run: &Run) -> String {
     let service = &run.verdict.service;
-    let slowest = run.classes.iter().map(|class| class.p99).fold(0.0, f64::max);
     format!(
         "{:<15}  {:<5}  {:.3}  {:>10.3}  {:>11.3}  {:>7}  {:>8}  {:>6.0}  {:>4.1}  {:>8}  {}  {}{}",
         run.policy.name(),
@@ -325,7 +324,7 @@
         service.worst_class,
         run.calls,
         run.sends,
-        slowest,
+        run.slowest_p99(),
         run.worst_push,
         run.connects,
         run.digest,
@@ -540,7 +539,7 @@
                 mean(&runs, |run| run.verdict.service.worst_window),
                 mean(&runs, |run| run.verdict.service.worst_class),
                 average(|run| run.sends as f64 / run.calls.max(1) as f64),
-                average(|run| run.classes.iter().map(|class| class.p99).fold(0.0, f64::max)),
+                average(Run::slowest_p99),
                 runs.iter().map(|run| run.worst_push).fold(0.0, f64::max),
             );
         }
--- a/crates/lab/src/real.rs
+++ b/crates/lab/src/real.rs
@@ -6,7 +6,7 @@
 use crate::record::{Mode, Run};
 use crate::scenario::{Scenario, What};
 use crate::signal::Signal as Changing;
-use crate::stage::{self, Ask, Carrier, Reply, Served, World};
+use crate::stage::{self, Ask, Carrier, Reply, Served, World, CONNECT_WAIT, KEEPALIVE};
 use crate::wire::{Line, Message};
 use crate::world::{Micros, Reach};
 use hdrhistogram::Histogram;
@@ -30,9 +30,6 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, timeout};
 
-/// Servers close a connection that has not been used for so long.
-const KEEPALIVE: Duration = Duration::from_secs(15);
-const CONNECT_WAIT: Duration = Duration::from_millis(250);
 /// All agents are ready by then, or the run fails.
 const START_WAIT: Duration = Duration::from_secs(30);
 /// How often the run looks whether it is late itself.
@@ -224,7 +221,7 @@
 }
 
 impl Places {
-    fn list(&self, world: &World, from: Option<i64>) -> (i64, usize, String) {
+    fn list(&self, world: &World, from: Option<i64>) -> (i64, String) {
         let registry = world.registry.borrow();
         let lines = registry.since(from);
         let target = |line: &crate::registry::Line| {
@@ -240,7 +237,7 @@
         let targets: Vec<Value> = lines.iter().map(target).collect();
         let version = registry.version();
         let list = json!({"rev": version, "all": from.is_none(), "targets": targets});
-        (version, targets.len(), list.to_string())
+        (version, list.to_string())
     }
 }
 
@@ -277,19 +274,21 @@
             registry.version() > from && !registry.is_down()
         });
         if timeout(hold, newer).await.is_ok() {
-            let late = world.scenario.registry.late as f64 * (0.5 + world.draw());
-            sleep(Duration::from_micros(late as u64)).await;
+            sleep(world.lateness()).await;
         }
     }
     // While it is down it says nothing.
     world.changed.wait_for(|_| !world.registry.borrow().is_down()).await;
-    let (_, lines, _) = places.list(world, from);
     let now = world.now();
-    let written = world.registry.borrow_mut().answer(now, lines)?;
+    let written = {
+        let mut registry = world.registry.borrow_mut();
+        let lines = registry.since(from).len();
+        registry.answer(now, lines)?
+    };
     sleep(Duration::from_micros(written - now)).await;
-    let (version, _, list) = places.list(world, from);
+    let (version, list) = places.list(world, from);
     world.told(agent.number, version);
-    *agent.known.borrow_mut() = places.list(world, None).2;
+    *agent.known.borrow_mut() = places.list(world, None).1;
     Some(list)
 }
 
@@ -494,11 +493,7 @@
                     Err(_) => return Reply::Unreachable,
                 },
             };
-            let answer = match line.write(&text).await {
-                Ok(()) => line.read(true).await,
-                Err(e) => Err(e),
-            };
-            match answer {
+            match line.ask(&text).await {
                 Ok(Some(answer)) => {
                     if !answer.last {
                         slot.clients.borrow_mut().push((line, ask.number));
@@ -573,9 +568,7 @@
         if let Ok(stream) = TcpStream::connect(address).await {
             let mut line = Line::new(stream);
             let text = format!("GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
-            if line.write(text.as_bytes()).await.is_ok()
-                && matches!(line.read(true).await, Ok(Some(answer)) if answer.status == 200)
-            {
+            if matches!(line.ask(text.as_bytes()).await, Ok(Some(answer)) if answer.status == 200) {
                 return;
             }
         }
@@ -606,11 +599,7 @@
                 return Outcome::NotSent;
             }
             let text = request(&self.world.scenario, ask);
-            let answer = match line.write(&text).await {
-                Ok(()) => line.read(true).await,
-                Err(e) => Err(e),
-            };
-            return match answer {
+            return match line.ask(&text).await {
                 Ok(Some(answer)) => {
                     let outcome = match answer.status {
                         200 => Outcome::Success,
@@ -705,7 +694,7 @@
             child: RefCell::default(),
             ending: RefCell::default(),
             killed: Cell::new(0),
-            known: RefCell::new(self.places.list(&self.world, None).2),
+            known: RefCell::new(self.places.list(&self.world, None).1),
             clients: RefCell::default(),
             peak_kb: Cell::new(0),
             _held: held,
@@ -749,13 +738,9 @@
         (program, folder): (&Path, &Path),
         progress: impl Fn(Micros),
     ) -> Result<Run, String> {
-        let late = Rc::new(RefCell::new(Histogram::new(3).expect("three digits are kept")));
         let whole = if policy == Policy::Heronhoist {
             let processes = self.agents(seed, program, folder).await?;
-            self.begin();
-            let ticks = spawn_local(ticks(Rc::clone(&late)));
-            let whole = stage::play(&self.world, &processes, seed, progress).await;
-            ticks.abort();
+            let whole = self.timed(&processes, seed, progress).await;
             let (memory, crashed) = processes.end().await;
             let mut ledger = self.world.ledger.borrow_mut();
             (ledger.memory_mb, ledger.crashed) = (Some(memory), crashed);
@@ -768,16 +753,22 @@
             };
             let ways = (0..self.world.scenario.agents).map(|_| Rc::new(way())).collect();
             let plain = Plain::new(policy, Rc::clone(&self.world), ways, !seed);
-            self.begin();
-            let ticks = spawn_local(ticks(Rc::clone(&late)));
-            let whole = stage::play(&self.world, &plain, seed, progress).await;
-            ticks.abort();
-            whole
+            self.timed(&plain, seed, progress).await
         };
-        self.world.ledger.borrow_mut().late = late.borrow().value_at_quantile(0.99);
         Ok(Run::told(&self.world, Mode::Real, policy, seed, whole))
     }
 
+    /// Begins, plays, and writes down how late the run's own timers were meanwhile.
+    async fn timed<C: Carrier>(&self, carrier: &Rc<C>, seed: u64, progress: impl Fn(Micros)) -> bool {
+        let late = Rc::new(RefCell::new(Histogram::new(3).expect("three digits are kept")));
+        self.begin();
+        let ticks = spawn_local(ticks(Rc::clone(&late)));
+        let whole = stage::play(&self.world, carrier, seed, progress).await;
+        ticks.abort();
+        self.world.ledger.borrow_mut().late = late.borrow().value_at_quantile(0.99);
+        whole
+    }
+
     /// Starts the agents and leaves everything up.
     pub async fn leave_up(&self, program: &Path, folder: &Path) -> Result<Up, String> {
         let processes = self.agents(1, program, folder).await?;
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -153,6 +153,11 @@
 }
 
 impl Run {
+    /// The 99th percentile of the class that is slowest there, in milliseconds.
+    pub fn slowest_p99(&self) -> f64 {
+        self.classes.iter().map(|class| class.p99).fold(0.0, f64::max)
+    }
+
     /// Judges what was written down.
     pub fn told(world: &World, mode: Mode, policy: Policy, seed: u64, whole: bool) -> Run {
         let scenario = &world.scenario;
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -6,7 +6,7 @@
 use crate::record::{Mode, Run};
 use crate::scenario::{Scenario, What};
 use crate::signal::Signal;
-use crate::stage::{self, Ask, Carrier, Reply, Served, World};
+use crate::stage::{self, Ask, Carrier, Reply, Served, World, CONNECT_WAIT, KEEPALIVE};
 use crate::world::{Micros, Reach};
 use heronhoist_decision::{ClassId, KeyId, Outcome, ServerId, Span, TenantId, Time};
 use heronhoist_engine::*;
@@ -19,10 +19,6 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, sleep_until};
 
-/// A connection that is not up by then has failed.
-const CONNECT_WAIT: Duration = Duration::from_millis(250);
-/// A connection that has not been used for so long is closed.
-const KEEPALIVE: Micros = 15_000_000;
 /// Discovery that has turned a call away is called again after this.
 const ASK_AGAIN: Duration = Duration::from_secs(1);
 
@@ -69,7 +65,7 @@
 
     async fn connection(&self, server: usize) -> Result<u32, Outcome> {
         let now = self.world.now();
-        self.close(server, now.saturating_sub(KEEPALIVE));
+        self.close(server, now.saturating_sub(KEEPALIVE.as_micros() as Micros));
         loop {
             let rested = self.resting.borrow_mut().get_mut(&server).and_then(VecDeque::pop_back);
             match rested {
@@ -235,15 +231,14 @@
                 if !owed && feed.version() == Some(newest) {
                     continue;
                 }
-                // Some hear of it sooner than others.
-                let late = self.world.scenario.registry.late as f64 * (0.5 + self.world.draw());
-                sleep(Duration::from_micros(late as u64)).await;
+                sleep(self.world.lateness()).await;
                 let whole = feed.version().is_none() || owed;
                 let now = self.world.now();
                 let (version, lines, written) = {
                     let mut registry = self.world.registry.borrow_mut();
                     let lines = registry.since(if whole { None } else { feed.version() });
-                    (registry.version(), lines.clone(), registry.answer(now, lines.len()))
+                    let written = registry.answer(now, lines.len());
+                    (registry.version(), lines, written)
                 };
                 let Some(written) = written else {
                     feed.failed();
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -25,8 +25,12 @@
 
 /// A final answer that is later than the deadline by more than this does not count as one.
 const ANSWER_GRACE: Duration = Duration::from_millis(250);
+/// A connection that is not up by then has failed.
+pub const CONNECT_WAIT: Duration = Duration::from_millis(250);
+/// A connection that has not been used for so long is closed.
+pub const KEEPALIVE: Duration = Duration::from_secs(15);
 /// The servers' load is looked at so often.
-pub const SAMPLE: Duration = Duration::from_millis(500);
+const SAMPLE: Duration = Duration::from_millis(500);
 /// Whatever discovery has to tell counts as told then, whether it came or not.
 const TOLD_AT_THE_LATEST: Micros = 6_000_000;
 /// The window counts from the sending of the first attempt to the sending of a repeat; on the way each may take so much
@@ -154,6 +158,12 @@
         self.draws.borrow_mut().random()
     }
 
+    /// How late somebody hears of a change this time: some hear of it sooner than others.
+    pub fn lateness(&self) -> Duration {
+        let late = self.scenario.registry.late as f64 * (0.5 + self.draw());
+        Duration::from_micros(late as u64)
+    }
+
     /// An agent has been told this version of the list.
     pub fn told(&self, agent: usize, version: i64) {
         let now = self.now();
@@ -351,8 +361,8 @@
                     _ => {}
                 }
             }
-            if matches!(event.what, What::Start | What::Replace | What::Kill | What::Crash) {
-                // All who waited for an earlier life learn that it is over.
+            if matches!(event.what, What::Start | What::Replace) {
+                // All who waited for an earlier life learn that it is over; `fell` tells those of one that has died.
                 self.waiting.borrow_mut()[server].clear();
             }
             self.fell(server);
--- a/crates/lab/src/wire.rs
+++ b/crates/lab/src/wire.rs
@@ -90,6 +90,12 @@
         }
     }
 
+    /// Writes a request and reads its answer; `None` if the other side has ended without one.
+    pub async fn ask(&mut self, request: &[u8]) -> io::Result<Option<Message>> {
+        self.write(request).await?;
+        self.read(true).await
+    }
+
     /// Writes all of it.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
