Leave cold servers that miss deadlines alone, as those that turn requests away

A timeout at a cold server now counts as a rejection does: it is left alone for the usual answer time over its warmth, then sent one request at a time until one succeeds.

Kept as scenarios/found/cold-and-late.toml.

--- a/check.sh
+++ b/check.sh
@@ -17,6 +17,7 @@
 done
 # What hunt has found stays mended.
 lab run scenarios/found/cold-and-full.toml --seeds 1064
+lab run scenarios/found/cold-and-late.toml --seeds 20061..20066
 lab run scenarios/found/one-cold-left.toml --seeds 5237..5242
 lab run scenarios/found/tight-aim.toml --seeds 5159
 lab run scenarios/found/dead-but-listed.toml --seeds 9353..9355
--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -237,8 +237,8 @@
     sent_since: u32,
     /// When the probe that is out was sent.
     probed_at: Option<Time>,
-    /// It was cold and full. What it turns away pushes it too, so it is left alone until then, and then sent
-    /// one request at a time until it has served one.
+    /// It was cold and turned one away or did not answer in time. That pushes it too, so it is left alone
+    /// until then, and then sent one request at a time until it has served one.
     full_until: Option<Time>,
     /// When the list first said that it has left.
     gone_at: Option<Time>,
@@ -929,15 +929,13 @@
                 lean(&mut s.stretch, (used / known.pace.max(0.001)).clamp(0.05, 8.0));
             }
             // A full server is no sick one: it is only sent less.
-            Outcome::Rejected => {
-                s.last_answer = now;
-                if warmth < 1.0 {
-                    s.full_until = Some(now + Span::from_ms(known.usual()) * (1.0 / warmth.max(0.01)));
-                }
-            }
+            Outcome::Rejected => s.last_answer = now,
             Outcome::ConnectFailed => s.failures += 1,
             _ => (s.failures, s.last_answer) = (s.failures + 1, now),
         }
+        if warmth < 1.0 && matches!(outcome, Outcome::Rejected | Outcome::TimedOut) {
+            s.full_until = Some(now + Span::from_ms(known.usual()) * (1.0 / warmth.max(0.01)));
+        }
         match outcome {
             Outcome::NotSent | Outcome::Cancelled | Outcome::TimedOut | Outcome::Rejected => {}
             Outcome::Success => s.failing -= FAILING_GAIN * s.failing,
--- a/crates/decision/tests/cold_server_not_pushed_over.rs
+++ b/crates/decision/tests/cold_server_not_pushed_over.rs
@@ -99,8 +99,8 @@
 /// What a full server turns away at once holds no place, and pushes it all the same: it is left alone for as long as it
 /// needs to have one again. A warm one is not.
 #[test]
-fn a_cold_server_that_is_full_is_left_alone_for_a_while() {
-    let sends = |started: bool| {
+fn a_cold_server_that_is_full_or_late_is_left_alone_for_a_while() {
+    let sends = |started: bool, fate: Outcome| {
         let mut rig = Rig::new(Settings { max_attempts: 1, ..settings() }, 4);
         let start = rig.now;
         rig.list(
@@ -111,15 +111,17 @@
             let (id, to) = rig.ask(0);
             if to.is_some() {
                 sent += 1;
-                rig.answer(id, 0, Outcome::Rejected, 1.0);
+                rig.answer(id, 0, fate, 1.0);
             }
             rig.wait(Span::from_ms(5.0));
         }
         sent
     };
-    let (cold, warm) = (sends(true), sends(false));
-    assert!(cold <= 20, "{cold} sends in a second to a server that is cold and full");
-    assert!(warm > 3 * cold, "{warm} to a warm one, {cold} to a cold one");
+    for fate in [Outcome::Rejected, Outcome::TimedOut] {
+        let (cold, warm) = (sends(true, fate), sends(false, fate));
+        assert!(cold <= 20, "{cold} sends in a second to a server that is cold, {fate:?}");
+        assert!(warm > 3 * cold, "{warm} to a warm one, {cold} to a cold one, {fate:?}");
+    }
 }
 
 /// A warm server that is suspect is no reason to leave cold ones idle, nor to send them all of its load.
