--- a/crates/agent/src/cli.rs
+++ b/crates/agent/src/cli.rs
@@ -3,6 +3,7 @@
 use crate::config::{Config, Unusable};
 use crate::log;
 use crate::plan::{Members, Plan, PoolPlan};
+use crate::translate;
 use clap::{CommandFactory, Parser, Subcommand};
 use heronhoist_decision::Effect;
 use std::fmt::Write as _;
@@ -42,6 +43,11 @@
         #[arg(short, long, value_name = "FILE")]
         config: Option<PathBuf>,
     },
+    /// Check, try and explain the files by which messages are translated.
+    Translate {
+        #[command(subcommand)]
+        command: translate::Command,
+    },
     /// Write a completion script for a shell to standard output.
     Completions {
         /// The shell.
@@ -62,6 +68,14 @@
             Ok(config) => print(&entries(&config)),
             Err(fault) => fail(&fault.to_string(), code_of(&fault)),
         },
+        Some(Command::Translate { command }) => match translate::main(command) {
+            Ok(text) => print(&text),
+            Err(translate::Fault::Unread(fault)) => fail(&fault, UNREAD),
+            Err(translate::Fault::Faulty(faults)) => {
+                let _ = writeln!(io::stderr(), "{faults}");
+                ExitCode::from(1)
+            }
+        },
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Arguments::command(), "heronhoist", &mut io::stdout());
             ExitCode::SUCCESS
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -21,6 +21,7 @@
 mod rest;
 mod seats;
 mod server;
+mod translate;
 mod upload;
 mod wire;
 
--- /dev/null
+++ b/crates/agent/src/translate.rs
@@ -0,0 +1,156 @@
+//! `heronhoist translate`: mapping files by hand.
+
+use clap::{Subcommand, ValueEnum};
+use heronhoist_translate::{explain, mapping, Mapping, Part, Side};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Check mapping files, and show what does not come back as it went.
+    Check {
+        /// Files, or directories of which every .toml file is checked.
+        #[arg(required = true, value_name = "DIR")]
+        paths: Vec<PathBuf>,
+    },
+    /// Translate one message and show what becomes of each field.
+    Try {
+        /// The mapping file.
+        #[arg(long, value_name = "FILE")]
+        map: PathBuf,
+        /// The message as on the wire, without its HTTP head; - is standard input.
+        #[arg(long = "in", value_name = "FILE")]
+        input: PathBuf,
+        /// The side that it comes from.
+        #[arg(long, value_enum, default_value = "old")]
+        from: From,
+        /// It is an answer.
+        #[arg(long)]
+        answer: bool,
+    },
+    /// Show a mapping as Markdown.
+    Explain {
+        /// The mapping file.
+        #[arg(value_name = "FILE")]
+        map: PathBuf,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+pub enum From {
+    /// The old one.
+    Old,
+    /// The new one.
+    New,
+}
+
+/// What to print, or what is wrong; each line of it stands for itself.
+type Told = Result<String, Fault>;
+
+/// What is wrong.
+pub enum Fault {
+    /// Files or a message have faults, told in these lines.
+    Faulty(String),
+    /// Something can't be read.
+    Unread(String),
+}
+
+/// Does what the command line says.
+pub fn main(command: Command) -> Told {
+    match command {
+        Command::Check { paths } => check(&paths),
+        Command::Explain { map } => read(&map).map(|mapping| explain::explain(&mapping)),
+        Command::Try { map, input, from, answer } => {
+            let mapping = read(&map)?;
+            let message = message(&input)?;
+            let part = if answer { Part::Answer } else { Part::Request };
+            let from = match from {
+                From::Old => Side::Old,
+                From::New => Side::New,
+            };
+            // An editor ends the last line; a query has none.
+            let message = match mapping.dialect(from).form(part) {
+                mapping::Form::Form => message.trim_ascii_end(),
+                _ => &message,
+            };
+            explain::trial(&mapping, part, from, message)
+                .map_err(|why| Fault::Faulty(why.trim_end().to_owned()))
+        }
+    }
+}
+
+fn unread(path: &Path, fault: &io::Error) -> Fault {
+    Fault::Unread(format!("{}: {fault}", path.display()))
+}
+
+fn message(path: &Path) -> Result<Vec<u8>, Fault> {
+    let mut message = Vec::new();
+    let read = match path.as_os_str() == "-" {
+        true => io::stdin().read_to_end(&mut message).map(drop),
+        false => std::fs::read(path).map(|bytes| message = bytes),
+    };
+    read.map_err(|e| unread(path, &e))?;
+    Ok(message)
+}
+
+fn read(path: &Path) -> Result<Mapping, Fault> {
+    let text = std::fs::read_to_string(path).map_err(|e| unread(path, &e))?;
+    mapping::read(&text).map_err(|faults| {
+        let lines = faults.iter().map(|fault| format!("{}:{fault}", path.display()));
+        Fault::Faulty(lines.collect::<Vec<_>>().join("\n"))
+    })
+}
+
+fn files(path: &Path) -> Result<Vec<PathBuf>, Fault> {
+    if !path.is_dir() {
+        return Ok(vec![path.to_owned()]);
+    }
+    let entries = std::fs::read_dir(path).and_then(Iterator::collect::<io::Result<Vec<_>>>);
+    let mut files: Vec<PathBuf> = entries
+        .map_err(|e| unread(path, &e))?
+        .into_iter()
+        .map(|entry| entry.path())
+        .filter(|path| path.extension().is_some_and(|extension| extension == "toml"))
+        .collect();
+    files.sort();
+    match files.is_empty() {
+        true => Err(Fault::Unread(format!("{}: no .toml files", path.display()))),
+        false => Ok(files),
+    }
+}
+
+fn check(paths: &[PathBuf]) -> Told {
+    let (mut told, mut faults, mut names) = (String::new(), Vec::new(), Vec::<(String, PathBuf)>::new());
+    for path in paths.iter().map(|path| files(path)).collect::<Result<Vec<_>, _>>()?.concat() {
+        match read(&path) {
+            Ok(mapping) => {
+                let name = format!("{} {}", mapping.name, mapping.version);
+                if let Some((_, other)) = names.iter().find(|(known, _)| *known == name) {
+                    let other = other.display();
+                    faults.push(format!("{}: name: {name} is in {other} already", path.display()));
+                }
+                told += &format!("{}: sound, {name}, class {}\n", path.display(), mapping.class);
+                for note in &mapping.notes {
+                    told += &format!(
+                        "  {} {} {}: {}\n",
+                        note.part.name(),
+                        note.from.name(),
+                        note.field,
+                        note.text
+                    );
+                }
+                names.push((name, path));
+            }
+            Err(Fault::Faulty(lines)) => faults.push(lines),
+            Err(unread) => return Err(unread),
+        }
+    }
+    match faults.is_empty() {
+        true => Ok(told),
+        false => {
+            // What is sound is told all the same.
+            let _ = io::stdout().write_all(told.as_bytes());
+            Err(Fault::Faulty(faults.join("\n")))
+        }
+    }
+}
--- /dev/null
+++ b/crates/translate/src/compile.rs
@@ -0,0 +1,954 @@
+//! What a mapping file means, and all that is wrong with it: no field of either side goes without a rule, and every
+//! conversion that could lose something says what is to become of it.
+
+use crate::charset::Charset;
+use crate::convert::{Cast, Condition, Rule};
+use crate::field::{Clock, ClockForm, Field, Fold, Grain, Kind, Value};
+use crate::file::{self, line_of, Cut, File, Function, Policy, Replace};
+use crate::mapping::{Dialect, Fault, Form, Mapping, Note, Part, Side};
+use crate::units::{self, Rounding};
+use jiff::tz::TimeZone;
+use rust_decimal::Decimal;
+use toml::Spanned;
+
+struct Compiler<'a> {
+    text: &'a str,
+    faults: Vec<Fault>,
+    notes: Vec<Note>,
+}
+
+pub(crate) fn compile(text: &str, file: File) -> Result<Mapping, Vec<Fault>> {
+    let mut compiler = Compiler { text, faults: Vec::new(), notes: Vec::new() };
+    let old = compiler.dialect(Side::Old, &file.old);
+    let new = compiler.dialect(Side::New, &file.new);
+    if !is_name(file.name.get_ref()) {
+        compiler.fault(&file.name, "name", "a name has letters, digits, _ and - only");
+    }
+    let charsets = (old.charset, new.charset);
+    let mut rules = |part: Part, rules: &[file::Rule]| {
+        let sides = Sides { part, old: old.fields(part), new: new.fields(part), charsets, above: ["", ""] };
+        let extensions = (old.extension.is_some(), new.extension.is_some());
+        compiler.rules(&sides, rules, Some(extensions), &file.name)
+    };
+    let request = rules(Part::Request, &file.request);
+    let answer = rules(Part::Answer, &file.answer);
+    let key = file.key.as_ref().map(|key| {
+        let places = key.old.iter().filter_map(|name| {
+            let place = old.request.iter().position(|field| field.path == *name.get_ref());
+            match place.filter(|&at| !matches!(old.request[at].kind, Kind::Group(..))) {
+                Some(at) => Some(at),
+                None => {
+                    compiler.fault(name, "key.old", "no such field of the old request");
+                    None
+                }
+            }
+        });
+        (places.collect::<Vec<_>>(), key.namespace.clone())
+    });
+    if key.as_ref().is_some_and(|(places, _)| places.is_empty()) {
+        compiler.fault(&file.name, "key.old", "a key is made of one field at least");
+    }
+    let Compiler { mut faults, notes, .. } = compiler;
+    match faults.is_empty() {
+        true => Ok(Mapping {
+            name: file.name.into_inner(),
+            version: file.version,
+            class: file.class,
+            old,
+            new,
+            notes,
+            request,
+            answer,
+            key,
+        }),
+        false => {
+            faults.sort_by_key(|fault| fault.line);
+            Err(faults)
+        }
+    }
+}
+
+/// The fields that rules speak of.
+struct Sides<'a> {
+    part: Part,
+    old: &'a [Field],
+    new: &'a [Field],
+    charsets: (Charset, Charset),
+    /// The groups that the fields are in, on each side.
+    above: [&'a str; 2],
+}
+
+impl Sides<'_> {
+    fn of(&self, side: Side) -> &[Field] {
+        match side {
+            Side::Old => self.old,
+            Side::New => self.new,
+        }
+    }
+
+    fn above(&self, side: Side) -> &str {
+        self.above[usize::from(side == Side::New)]
+    }
+
+    fn charset(&self, side: Side) -> Charset {
+        match side {
+            Side::Old => self.charsets.0,
+            Side::New => self.charsets.1,
+        }
+    }
+
+    fn key(&self, side: Side, name: &str) -> String {
+        format!("{}.{}.{}{name}", self.part.name(), side.name(), self.above(side))
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let mut bytes = text.bytes();
+    let first = bytes.next().is_some_and(|byte| byte.is_ascii_alphabetic() || byte == b'_');
+    first
+        && bytes.all(|byte| byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'-')
+        && !text.contains("--")
+}
+
+impl Compiler<'_> {
+    fn fault<T>(&mut self, at: &Spanned<T>, key: impl Into<String>, what: impl Into<String>) {
+        let line = line_of(self.text, at.span().start);
+        self.faults.push(Fault { line, key: key.into(), what: what.into() });
+    }
+
+    fn note(&mut self, sides: &Sides<'_>, from: Side, name: &str, text: impl Into<String>) {
+        let field = format!("{}{name}", sides.above(from));
+        self.notes.push(Note { part: sides.part, field, from, text: text.into() });
+    }
+
+    // ---- sides --------------------------------------------------------------------------------------------------
+
+    fn dialect(&mut self, side: Side, file: &file::Side) -> Dialect {
+        let zone = self.zone(file.zone.as_ref(), &TimeZone::UTC);
+        let form = *file.form.get_ref();
+        let answers = file.answer_form.as_ref().map_or(form, |form| *form.get_ref());
+        let here = side.name();
+        if form == Form::Table {
+            self.fault(
+                &file.form,
+                format!("{here}.form"),
+                "a request is a form, SOAP or JSON; tables are answers",
+            );
+        }
+        if let Some(bad) = file.answer_form.as_ref().filter(|form| *form.get_ref() == Form::Form) {
+            self.fault(bad, format!("{here}.answers"), "an answer is a table, SOAP or JSON");
+        }
+        if (form == Form::Json || answers == Form::Json) && file.charset != Charset::Utf8 {
+            self.fault(&file.form, format!("{here}.charset"), "JSON is UTF-8 (RFC 8259, 8.1)");
+        }
+        let soap = form == Form::Soap || answers == Form::Soap;
+        let operation = file.operation.clone().unwrap_or_default();
+        if soap && (!is_name(&operation) || file.namespace.as_deref().unwrap_or_default().is_empty()) {
+            self.fault(&file.form, here, "SOAP needs an operation, which is a name, and a namespace");
+        }
+        if !file.path.get_ref().starts_with('/') {
+            self.fault(&file.path, format!("{here}.path"), "a path begins with /");
+        }
+        let delimiter = file.delimiter.as_ref().map_or("|", |delimiter| delimiter.get_ref());
+        let &[delimiter] = delimiter.as_bytes() else { return self.no_delimiter(side, file) };
+        if !delimiter.is_ascii_graphic() && delimiter != b'\t'
+            || delimiter.is_ascii_alphanumeric()
+            || delimiter == b'"'
+        {
+            return self.no_delimiter(side, file);
+        }
+        if let Some(bad) = file.extension.as_ref().filter(|name| !is_name(name.get_ref())) {
+            self.fault(bad, format!("{here}.extension"), "a name has letters, digits, _ and - only");
+        }
+        let request = self.fields(&format!("{here}.request"), &file.request, &zone);
+        let answer = self.fields(&format!("{here}.answer"), &file.answer, &zone);
+        if let Some(extension) = &file.extension {
+            if request.iter().chain(&answer).any(|field| field.path == *extension.get_ref()) {
+                self.fault(extension, format!("{here}.extension"), "a field has this name");
+            }
+        }
+        if answers == Form::Table {
+            self.check_table(here, &file.answer, &answer);
+        }
+        Dialect {
+            form,
+            answers,
+            method: file.method.clone(),
+            path: file.path.get_ref().clone(),
+            charset: file.charset,
+            delimiter,
+            extension: file.extension.as_ref().map(|name| name.get_ref().clone()),
+            operation,
+            namespace: file.namespace.clone().unwrap_or_default(),
+            request,
+            answer,
+        }
+    }
+
+    fn no_delimiter(&mut self, side: Side, file: &file::Side) -> Dialect {
+        let at = file.delimiter.as_ref().unwrap_or(&file.path);
+        self.fault(at, format!("{}.delimiter", side.name()), "a delimiter is one ASCII mark or a tab");
+        Dialect {
+            form: Form::Form,
+            answers: Form::Table,
+            method: String::new(),
+            path: String::new(),
+            charset: Charset::Utf8,
+            delimiter: b'|',
+            extension: None,
+            operation: String::new(),
+            namespace: String::new(),
+            request: Vec::new(),
+            answer: Vec::new(),
+        }
+    }
+
+    /// Delimited text has rows for one level of groups, and no way to tell an empty text from none.
+    fn check_table(&mut self, here: &str, files: &[file::Field], fields: &[Field]) {
+        for (file, field) in files.iter().zip(fields) {
+            let key = format!("{here}.answer.{}", field.path);
+            let within = match &field.kind {
+                Kind::Group(_, within)
+                    if within.iter().any(|field| matches!(field.kind, Kind::Group(..))) =>
+                {
+                    self.fault(&file.name, key.clone(), "a table has no groups within groups");
+                    continue;
+                }
+                Kind::Group(_, within) => within.as_slice(),
+                _ => std::slice::from_ref(field),
+            };
+            if matches!(field.kind, Kind::Group(..)) && matches!(field.path.as_str(), "H" | "T" | "X") {
+                self.fault(&file.name, key.clone(), "H, T and X are the tags of a table's own rows");
+            }
+            if within.iter().any(|field| matches!(field.kind, Kind::Text(0, _))) {
+                let what = "a table does not tell an empty text from none: length from 1";
+                self.fault(&file.name, key, what);
+            }
+        }
+    }
+
+    fn zone(&mut self, name: Option<&Spanned<String>>, otherwise: &TimeZone) -> TimeZone {
+        let Some(name) = name else { return otherwise.clone() };
+        TimeZone::get(name.get_ref()).unwrap_or_else(|_| {
+            self.fault(name, "zone", format!("{:?} is no zone of the IANA database", name.get_ref()));
+            otherwise.clone()
+        })
+    }
+
+    fn fields(&mut self, above: &str, files: &[file::Field], zone: &TimeZone) -> Vec<Field> {
+        let mut fields: Vec<Field> = Vec::with_capacity(files.len());
+        for file in files {
+            let path = file.name.get_ref();
+            let key = format!("{above}.{path}");
+            if !path.split('.').all(is_name) {
+                self.fault(
+                    &file.name,
+                    &key,
+                    "a name has letters, digits, _ and - only, records parted by points",
+                );
+            }
+            let within = |a: &str, b: &str| {
+                a.strip_prefix(b).is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
+            };
+            if fields.iter().any(|known| within(&known.path, path) || within(path, &known.path)) {
+                self.fault(&file.name, &key, "the name is taken, as a field or as a record");
+            }
+            let kind = self.kind(file, &key, zone);
+            fields.push(Field { path: path.clone(), kind, optional: file.optional });
+        }
+        fields
+    }
+
+    fn kind(&mut self, file: &file::Field, key: &str, zone: &TimeZone) -> Kind {
+        let at = &file.name;
+        let given = [
+            ("length", file.length.is_some(), matches!(file.kind, file::Kind::Text)),
+            ("range", file.range.is_some(), {
+                matches!(file.kind, file::Kind::Integer | file::Kind::Decimal | file::Kind::Quantity)
+            }),
+            (
+                "digits",
+                file.digits.is_some(),
+                matches!(file.kind, file::Kind::Decimal | file::Kind::Quantity),
+            ),
+            ("width", file.width.is_some(), matches!(file.kind, file::Kind::Integer)),
+            ("unit", file.unit.is_some(), matches!(file.kind, file::Kind::Quantity)),
+            ("format", file.format.is_some(), matches!(file.kind, file::Kind::Date | file::Kind::Time)),
+            ("zone", file.zone.is_some(), matches!(file.kind, file::Kind::Time)),
+            ("fold", file.fold.is_some(), matches!(file.kind, file::Kind::Time)),
+            ("values", file.values.is_some(), matches!(file.kind, file::Kind::Choice)),
+            ("words", file.words.is_some(), matches!(file.kind, file::Kind::Flag)),
+            ("max", file.max.is_some(), matches!(file.kind, file::Kind::Group)),
+            ("fields", !file.fields.is_empty(), matches!(file.kind, file::Kind::Group)),
+        ];
+        for (name, is_given, belongs) in given {
+            if is_given && !belongs {
+                self.fault(at, key, format!("{name} says nothing of this type"));
+            }
+        }
+        let digits = file.digits.unwrap_or(0);
+        match file.kind {
+            file::Kind::Text => {
+                let [least, most] = file.length.unwrap_or_default();
+                if most == 0 || least > most {
+                    self.fault(at, key, "a text has length = [least, most], in characters");
+                }
+                Kind::Text(least, most)
+            }
+            file::Kind::Integer => {
+                let bounds = file.range.as_ref().map(|[a, b]| (a.parse(), b.parse()));
+                match bounds {
+                    Some((Ok(least), Ok(most))) if least <= most => {
+                        Kind::Integer(least, most, file.width.unwrap_or(0).min(40))
+                    }
+                    _ => {
+                        self.fault(at, key, "an integer has range = [\"least\", \"most\"]");
+                        Kind::Integer(0, 0, 0)
+                    }
+                }
+            }
+            file::Kind::Decimal | file::Kind::Quantity => {
+                let bounds = file
+                    .range
+                    .as_ref()
+                    .map(|[a, b]| (Decimal::from_str_exact(a), Decimal::from_str_exact(b)));
+                let (least, most) = match bounds {
+                    Some((Ok(least), Ok(most))) if least <= most => (least, most),
+                    _ => {
+                        self.fault(at, key, "a decimal has range = [\"least\", \"most\"]");
+                        (Decimal::ZERO, Decimal::ZERO)
+                    }
+                };
+                if digits > 18 {
+                    self.fault(at, key, "18 digits after the point at most");
+                }
+                if file.kind == file::Kind::Decimal {
+                    return Kind::Decimal(least, most, digits.min(18));
+                }
+                let unit = file.unit.as_deref().and_then(units::find).unwrap_or_else(|| {
+                    let known: Vec<_> = units::UNITS.iter().map(|unit| unit.symbol).collect();
+                    self.fault(at, key, format!("a quantity has a unit, one of {}", known.join(", ")));
+                    &units::UNITS[0]
+                });
+                Kind::Quantity(least, most, digits.min(18), unit)
+            }
+            file::Kind::Date => {
+                let form = file.format.clone().unwrap_or_else(|| "%Y-%m-%d".into());
+                let day = jiff::civil::date(2007, 11, 23);
+                let again = jiff::fmt::strtime::format(&form, day)
+                    .ok()
+                    .and_then(|text| jiff::civil::Date::strptime(&form, text).ok());
+                if again != Some(day) {
+                    self.fault(at, key, "a date's format has to hold year, month and day, as of strftime");
+                }
+                Kind::Date(form)
+            }
+            file::Kind::Time => {
+                let form = match file.format.as_deref() {
+                    None | Some("rfc3339") => ClockForm::Rfc3339,
+                    Some("unix") => ClockForm::Unix,
+                    Some(form) => {
+                        let minute = jiff::civil::date(2007, 11, 23).at(13, 47, 0, 0);
+                        let again = jiff::fmt::strtime::format(form, minute)
+                            .ok()
+                            .and_then(|text| jiff::civil::DateTime::strptime(form, text).ok());
+                        if again != Some(minute) {
+                            let what = "a time's format is rfc3339, unix, or holds day, hour and minute, as of strftime";
+                            self.fault(at, key, what);
+                        }
+                        ClockForm::Local(form.to_owned())
+                    }
+                };
+                let zone = self.zone(file.zone.as_ref(), zone);
+                let shows_twice = matches!(form, ClockForm::Local(_)) && zone.to_fixed_offset().is_err();
+                if shows_twice && file.fold.is_none() {
+                    self.fault(at, key, "a local time needs fold = \"earlier\", \"later\" or \"refuse\"");
+                }
+                Kind::Time(Clock { form, zone, fold: file.fold.unwrap_or(Fold::Refuse) })
+            }
+            file::Kind::Choice => {
+                let values = file.values.clone().unwrap_or_default();
+                let mut sorted = values.clone();
+                sorted.sort();
+                sorted.dedup();
+                if values.is_empty() || sorted.len() != values.len() || values.iter().any(String::is_empty) {
+                    self.fault(at, key, "a choice has values, none empty, none twice");
+                }
+                Kind::Choice(values)
+            }
+            file::Kind::Flag => {
+                let [yes, no] = file.words.clone().unwrap_or_else(|| ["true".into(), "false".into()]);
+                if yes == no || yes.is_empty() || no.is_empty() {
+                    self.fault(at, key, "a flag has two words that differ");
+                }
+                Kind::Flag(yes, no)
+            }
+            file::Kind::Group => {
+                let fields = self.fields(key, &file.fields, zone);
+                if fields.is_empty() || file.max.unwrap_or(0) == 0 {
+                    self.fault(at, key, "a group has fields, and max items");
+                }
+                Kind::Group(file.max.unwrap_or(0), fields)
+            }
+        }
+    }
+
+    // ---- rules --------------------------------------------------------------------------------------------------
+
+    /// The rules of a message or of a group's items. A group has no extension of its own.
+    fn rules(
+        &mut self,
+        sides: &Sides<'_>,
+        files: &[file::Rule],
+        extensions: Option<(bool, bool)>,
+        at: &Spanned<String>,
+    ) -> Vec<Rule> {
+        let mut used: (Vec<usize>, Vec<usize>) = (Vec::new(), Vec::new());
+        let mut rules = Vec::with_capacity(files.len());
+        for file in files {
+            let mut places = |side: Side, names: Option<&file::Names>| -> Option<Vec<usize>> {
+                let used = if side == Side::Old { &mut used.0 } else { &mut used.1 };
+                let mut all = Vec::new();
+                for name in names.map(file::Names::list).unwrap_or_default() {
+                    let key = sides.key(side, name.get_ref());
+                    match sides.of(side).iter().position(|field| field.path == *name.get_ref()) {
+                        None => self.fault(name, key, "no such field"),
+                        Some(at) if used.contains(&at) => {
+                            self.fault(name, key, "another rule has it already")
+                        }
+                        Some(at) => {
+                            used.push(at);
+                            all.push(at);
+                        }
+                    }
+                }
+                (all.len() == names.map(file::Names::list).unwrap_or_default().len()).then_some(all)
+            };
+            let (old, new) = (places(Side::Old, file.old.as_ref()), places(Side::New, file.new.as_ref()));
+            let (Some(old), Some(new)) = (old, new) else { continue };
+            let named = file.old.as_ref().or(file.new.as_ref()).and_then(|names| names.list().first());
+            let Some(named) = named else {
+                self.fault(at, sides.part.name(), "a rule names an old field, a new one or both");
+                continue;
+            };
+            let rule = match (old.as_slice(), new.as_slice(), file.function) {
+                (_, &[new], Some(Function::Join)) if old.len() > 1 => self.join(sides, old, new, file, named),
+                (&[old], &[new], _) => self.pair(sides, old, new, file, named, &rules),
+                (&[old], &[], _) => {
+                    self.alone(sides, Side::Old, old, file, named, extensions.map(|both| both.1))
+                }
+                (&[], &[new], _) => {
+                    self.alone(sides, Side::New, new, file, named, extensions.map(|both| both.0))
+                }
+                _ => {
+                    let what = "one old field and one new one, or several old ones, one new one and function = \"join\"";
+                    self.fault(named, sides.part.name(), what);
+                    None
+                }
+            };
+            rules.extend(rule);
+        }
+        for (side, used) in [(Side::Old, &used.0), (Side::New, &used.1)] {
+            for (place, field) in sides.of(side).iter().enumerate().filter(|(place, _)| !used.contains(place))
+            {
+                let _ = place;
+                let what = "neither mapped, defaulted nor given a policy";
+                self.fault(at, sides.key(side, &field.path), what);
+            }
+        }
+        rules
+    }
+
+    fn join(
+        &mut self,
+        sides: &Sides<'_>,
+        old: Vec<usize>,
+        new: usize,
+        file: &file::Rule,
+        named: &Spanned<String>,
+    ) -> Option<Rule> {
+        let key = sides.key(Side::New, &sides.new[new].path);
+        let with = file.with.clone().unwrap_or_default();
+        let plain = |&at: &usize| !matches!(sides.old[at].kind, Kind::Group(..)) && !sides.old[at].optional;
+        if with.is_empty() || !old.iter().all(plain) || sides.new[new].optional {
+            self.fault(
+                named,
+                key,
+                "join needs with = \"...\", and fields that are no groups and not optional",
+            );
+            return None;
+        }
+        let Kind::Text(..) = sides.new[new].kind else {
+            self.fault(named, key, "join makes a text");
+            return None;
+        };
+        self.note(
+            sides,
+            Side::New,
+            &sides.new[new].path,
+            format!(
+                "refused unless it is {} parts with {with:?}, each \
+             as the old field writes it",
+                old.len()
+            ),
+        );
+        for &at in &old {
+            if matches!(sides.old[at].kind, Kind::Text(..)) {
+                self.note(sides, Side::Old, &sides.old[at].path, format!("refused if it has {with:?} in it"));
+            }
+        }
+        Some(Rule::Join { old, new, with })
+    }
+
+    fn alone(
+        &mut self,
+        sides: &Sides<'_>,
+        side: Side,
+        place: usize,
+        file: &file::Rule,
+        named: &Spanned<String>,
+        can_carry: Option<bool>,
+    ) -> Option<Rule> {
+        let field = &sides.of(side)[place];
+        let key = sides.key(side, &field.path);
+        let text = file.constant.as_ref().or(file.default.as_ref());
+        let value = text.and_then(|text| self.literal(field, text, named, &key));
+        let is_group = matches!(field.kind, Kind::Group(..));
+        let Some(policy) = file.policy.or(file.constant.as_ref().map(|_| Policy::Refuse)) else {
+            self.fault(
+                named,
+                key,
+                "the other side has no such field: policy = \"refuse\", \"carry\" or \"drop\"",
+            );
+            return None;
+        };
+        if policy == Policy::Carry && (is_group || can_carry != Some(true)) {
+            let what = match (is_group, can_carry) {
+                (true, _) => "a group can't be carried",
+                (_, None) => "a field of a group's items can't be carried",
+                _ => "the other side has no extension to carry it in",
+            };
+            self.fault(named, key, what);
+            return None;
+        }
+        if value.is_none() && !field.optional && !is_group {
+            self.fault(
+                named,
+                key,
+                "it has to be there, and the other side does not say what: default or constant",
+            );
+            return None;
+        }
+        let constant = file.constant.is_some();
+        let given = text.map_or("any value".to_owned(), |text| format!("any value but {text:?}"));
+        match policy {
+            _ if constant => self.note(sides, side, &field.path, format!("{given} is refused")),
+            Policy::Refuse => self.note(sides, side, &field.path, format!("{given} is refused")),
+            Policy::Drop => self.note(sides, side, &field.path, "any value is dropped, with a notice"),
+            Policy::Carry => {
+                let there = sides.charset(side.other());
+                if sides.charset(side) != there && there != Charset::Utf8 {
+                    let what = format!("characters that {} does not have are refused", there.name());
+                    self.note(sides, side, &field.path, what);
+                }
+            }
+        }
+        Some(Rule::Alone { side, field: place, policy, value, constant })
+    }
+
+    fn literal(&mut self, field: &Field, text: &str, at: &Spanned<String>, key: &str) -> Option<Value> {
+        match field.kind.parse(text) {
+            Ok(value) => Some(value),
+            Err(why) => {
+                self.fault(at, key, format!("{text:?} is no value of it: {why}"));
+                None
+            }
+        }
+    }
+
+    fn pair(
+        &mut self,
+        sides: &Sides<'_>,
+        old: usize,
+        new: usize,
+        file: &file::Rule,
+        named: &Spanned<String>,
+        before: &[Rule],
+    ) -> Option<Rule> {
+        let (a, b) = (&sides.old[old], &sides.new[new]);
+        let keys = (sides.key(Side::Old, &a.path), sides.key(Side::New, &b.path));
+        let mut default = |field: &Field, text: &Option<String>, key: &str| {
+            text.as_ref().and_then(|text| self.literal(field, text, named, key))
+        };
+        let mut cast = Cast {
+            old_default: default(a, &file.old_default, &keys.0),
+            new_default: default(b, &file.new_default, &keys.1),
+            round: file.round,
+            long: file.long,
+            finer: file.finer,
+            unmappable: file.unmappable,
+            pairs: file.pairs.clone().unwrap_or_default(),
+            function: file.function,
+            rules: Vec::new(),
+        };
+        let when = file.when.as_ref().and_then(|when| {
+            let place = sides.old.iter().position(|field| field.path == *when.old.get_ref());
+            // The way back reads the field from what has been translated so far.
+            let earlier =
+                |&at: &usize| before.iter().any(|rule| matches!(rule, Rule::Pair { old, .. } if *old == at));
+            match place.filter(earlier) {
+                Some(field) => Some(Condition { field, is: when.is.clone() }),
+                None => {
+                    self.fault(
+                        &when.old,
+                        &keys.0,
+                        "a condition names an old field that an earlier rule maps to a new one",
+                    );
+                    None
+                }
+            }
+        });
+        if file.when.is_some() && !(a.optional && b.optional) {
+            self.fault(named, &keys.0, "a field with a condition is optional on both sides");
+        }
+        for (from, field, into, given, key) in [
+            (Side::Old, a, b, cast.new_default.is_some(), &keys.1),
+            (Side::New, b, a, cast.old_default.is_some(), &keys.0),
+        ] {
+            let is_group = matches!(field.kind, Kind::Group(..));
+            if field.optional && !into.optional && !given && !is_group {
+                let what = format!(
+                    "it has to be there, and {:?} may be absent: {}_default",
+                    field.path,
+                    from.other().name()
+                );
+                self.fault(named, key, what);
+            }
+            if given {
+                self.note(sides, from, &field.path, "if absent, comes back as the default");
+            }
+        }
+        if cast.function == Some(Function::Join) {
+            self.fault(named, &keys.1, "join takes several old fields");
+        }
+        let old_to_new = self.check(sides, Side::Old, a, b, file, named);
+        let new_to_old = self.check(sides, Side::New, b, a, file, named);
+        if !old_to_new || !new_to_old {
+            return None;
+        }
+        if let (Kind::Group(_, had), Kind::Group(_, wanted)) = (&a.kind, &b.kind) {
+            let above =
+                [(Side::Old, a), (Side::New, b)].map(|(side, f)| format!("{}{}.", sides.above(side), f.path));
+            let within = Sides { old: had, new: wanted, above: [&above[0], &above[1]], ..*sides };
+            cast.rules = self.rules(&within, &file.rules, None, named);
+        }
+        Some(Rule::Pair { old, new, cast, when })
+    }
+
+    /// Whether every value of `from` has one of `into`, or the rule says what becomes of those that have none.
+    fn check(
+        &mut self,
+        sides: &Sides<'_>,
+        side: Side,
+        from: &Field,
+        into: &Field,
+        file: &file::Rule,
+        named: &Spanned<String>,
+    ) -> bool {
+        let before = self.faults.len();
+        let key = sides.key(side, &from.path);
+        match (&from.kind, &into.kind) {
+            (Kind::Text(least, most), Kind::Text(low, high)) => {
+                if most > high {
+                    match file.long {
+                        None => self.fault(
+                            named,
+                            &key,
+                            format!("{most} characters into {high}: long = \"refuse\" or \"cut\""),
+                        ),
+                        Some(Cut::Refuse) => self.note(
+                            sides,
+                            side,
+                            &from.path,
+                            format!("more than {high} characters are refused"),
+                        ),
+                        Some(Cut::Cut) => self.note(
+                            sides,
+                            side,
+                            &from.path,
+                            format!("cut to {high} characters, with a notice"),
+                        ),
+                    }
+                }
+                if least < low {
+                    self.bound(sides, side, from, file, named, format!("less than {low} characters"));
+                }
+                let (here, there) = (sides.charset(side), sides.charset(side.other()));
+                if here != there && there != Charset::Utf8 {
+                    let what = format!("characters that {} does not have", there.name());
+                    match file.unmappable {
+                        None => {
+                            self.fault(named, &key, format!("{what}: unmappable = \"refuse\" or \"replace\""))
+                        }
+                        Some(Replace::Refuse) => {
+                            self.note(sides, side, &from.path, format!("{what} are refused"))
+                        }
+                        Some(Replace::Replace) => {
+                            self.note(sides, side, &from.path, format!("{what} become ?, with a notice"))
+                        }
+                    }
+                }
+                if side == Side::Old {
+                    match file.function {
+                        Some(Function::Upper) => {
+                            self.note(sides, side, &from.path, "small letters come back as capitals")
+                        }
+                        Some(Function::Lower) => {
+                            self.note(sides, side, &from.path, "capitals come back as small letters")
+                        }
+                        Some(Function::Trim) => {
+                            self.note(sides, side, &from.path, "white space at the ends does not come back")
+                        }
+                        _ => {}
+                    }
+                }
+            }
+            (Kind::Integer(least, most, _), Kind::Integer(low, high, _)) => {
+                if least < low || most > high {
+                    self.bound(
+                        sides,
+                        side,
+                        from,
+                        file,
+                        named,
+                        format!("less than {low} or more than {high}"),
+                    );
+                }
+            }
+            (Kind::Integer(least, most, _), Kind::Decimal(low, high, _)) => {
+                let least = Decimal::try_from_i128_with_scale(*least, 0).ok();
+                let most = Decimal::try_from_i128_with_scale(*most, 0).ok();
+                if least.is_none_or(|least| least < *low) || most.is_none_or(|most| most > *high) {
+                    self.bound(
+                        sides,
+                        side,
+                        from,
+                        file,
+                        named,
+                        format!("less than {low} or more than {high}"),
+                    );
+                }
+            }
+            (Kind::Decimal(least, most, digits), Kind::Integer(low, high, _)) => {
+                let number = |n: i128| Decimal::try_from_i128_with_scale(n, 0).ok();
+                if number(*low).is_some_and(|low| *least < low)
+                    || number(*high).is_some_and(|high| *most > high)
+                {
+                    self.bound(
+                        sides,
+                        side,
+                        from,
+                        file,
+                        named,
+                        format!("less than {low} or more than {high}"),
+                    );
+                }
+                if *digits > 0 {
+                    self.rounds(sides, side, from, file, named, 0);
+                }
+            }
+            (Kind::Decimal(least, most, digits), Kind::Decimal(low, high, kept)) => {
+                if least < low || most > high {
+                    self.bound(
+                        sides,
+                        side,
+                        from,
+                        file,
+                        named,
+                        format!("less than {low} or more than {high}"),
+                    );
+                }
+                if digits > kept {
+                    self.rounds(sides, side, from, file, named, *kept);
+                }
+            }
+            (Kind::Quantity(least, most, digits, unit), Kind::Quantity(low, high, kept, to)) => {
+                if unit.dimension != to.dimension {
+                    self.fault(
+                        named,
+                        &key,
+                        format!("{} is no {} as {} is", unit.symbol, to.dimension, to.symbol),
+                    );
+                    return false;
+                }
+                let inexact = units::exact_digits(unit, to, *digits).is_none_or(|enough| enough > *kept);
+                if inexact {
+                    self.rounds(sides, side, from, file, named, *kept);
+                }
+                let rounding = file.round.unwrap_or(Rounding::HalfEven);
+                let there = |value: Decimal| {
+                    units::convert(value, unit, to)
+                        .and_then(|exact| exact.round(*kept, rounding))
+                        .map(|(value, _)| value)
+                };
+                if there(*least).is_none_or(|least| least < *low)
+                    || there(*most).is_none_or(|most| most > *high)
+                {
+                    let what = format!("less than {low} or more than {high} {}", to.symbol);
+                    self.bound(sides, side, from, file, named, what);
+                }
+            }
+            (Kind::Date(_), Kind::Date(_)) | (Kind::Flag(..), Kind::Flag(..)) => {}
+            (Kind::Time(from_clock), Kind::Time(clock)) => {
+                let grain = |grain| match grain {
+                    Grain::Minute => "minutes",
+                    Grain::Second => "seconds",
+                    Grain::Fraction => "nanoseconds",
+                };
+                let (fine, coarse) = (grain(from_clock.grain()), grain(clock.grain()));
+                if from_clock.grain() > clock.grain() {
+                    match file.finer {
+                        None => self.fault(
+                            named,
+                            &key,
+                            format!("{fine} into {coarse}: finer = \"refuse\" or \"cut\""),
+                        ),
+                        Some(Cut::Refuse) => self.note(
+                            sides,
+                            side,
+                            &from.path,
+                            format!("anything finer than {coarse} is refused"),
+                        ),
+                        Some(Cut::Cut) => {
+                            self.note(sides, side, &from.path, format!("cut to {coarse}, with a notice"))
+                        }
+                    }
+                }
+                if from_clock.form == ClockForm::Rfc3339 {
+                    self.note(sides, side, &from.path, "leap seconds are refused");
+                    if clock.form != ClockForm::Rfc3339 {
+                        self.note(sides, side, &from.path, "the same moment comes back with another offset");
+                    }
+                }
+                if matches!(clock.form, ClockForm::Local(_)) && clock.zone.to_fixed_offset().is_err() {
+                    let which = match clock.fold {
+                        Fold::Earlier => "the second",
+                        Fold::Later => "the first",
+                        Fold::Refuse => "either",
+                    };
+                    let what =
+                        format!("{which} of two hours that the other side's clock shows alike is refused");
+                    self.note(sides, side, &from.path, what);
+                }
+                if matches!(from_clock.form, ClockForm::Local(_))
+                    && from_clock.zone.to_fixed_offset().is_err()
+                {
+                    let what = "an hour that the clock skipped is refused";
+                    self.note(sides, side, &from.path, what);
+                    if from_clock.fold == Fold::Refuse {
+                        self.note(sides, side, &from.path, "an hour that the clock showed twice is refused");
+                    }
+                }
+            }
+            (Kind::Choice(words), Kind::Choice(others)) => {
+                self.choice(sides, side, from, words, others, file, named);
+            }
+            (Kind::Group(most, _), Kind::Group(high, _)) => {
+                if most > high {
+                    self.bound(sides, side, from, file, named, format!("more than {high} items"));
+                }
+            }
+            (a, b) => self.fault(named, &key, format!("a {} does not become a {}", a.name(), b.name())),
+        }
+        self.faults.len() == before
+    }
+
+    fn bound(
+        &mut self,
+        sides: &Sides<'_>,
+        side: Side,
+        from: &Field,
+        file: &file::Rule,
+        named: &Spanned<String>,
+        what: String,
+    ) {
+        match file.range {
+            Some(file::Refuse::Refuse) => self.note(sides, side, &from.path, format!("{what}: refused")),
+            None => {
+                let what = format!("{what} does not fit the other side: range = \"refuse\"");
+                self.fault(named, sides.key(side, &from.path), what);
+            }
+        }
+    }
+
+    fn rounds(
+        &mut self,
+        sides: &Sides<'_>,
+        side: Side,
+        from: &Field,
+        file: &file::Rule,
+        named: &Spanned<String>,
+        kept: u32,
+    ) {
+        match file.round {
+            Some(_) => {
+                let what =
+                    format!("what needs more than {kept} digits after the point is rounded, with a notice");
+                self.note(sides, side, &from.path, what);
+            }
+            None => {
+                let what = format!(
+                    "more than {kept} digits after the point: round = \"half-even\", \"half-up\" or \"down\""
+                );
+                self.fault(named, sides.key(side, &from.path), what);
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn choice(
+        &mut self,
+        sides: &Sides<'_>,
+        side: Side,
+        from: &Field,
+        words: &[String],
+        others: &[String],
+        file: &file::Rule,
+        named: &Spanned<String>,
+    ) {
+        let key = sides.key(side, &from.path);
+        let (here, there) = if side == Side::Old { (0, 1) } else { (1, 0) };
+        let pairs = file.pairs.as_deref().unwrap_or_default();
+        if let Some(pair) = pairs.iter().find(|pair| !words.contains(&pair[here])) {
+            self.fault(named, &key, format!("pairs: {:?} is none of its values", pair[here]));
+        }
+        let counterpart = |word: &String| match pairs {
+            [] => others.iter().find(|other| *other == word),
+            pairs => pairs.iter().find(|pair| pair[here] == *word).map(|pair| &pair[there]),
+        };
+        let alone: Vec<&str> =
+            words.iter().filter(|word| counterpart(word).is_none()).map(String::as_str).collect();
+        if alone.len() == words.len() {
+            self.fault(named, &key, "none of its values has a counterpart: pairs");
+        } else if !alone.is_empty() {
+            let list = alone.join(", ");
+            match file.unpaired {
+                Some(_) => self.note(sides, side, &from.path, format!("{list}: refused")),
+                None => self.fault(
+                    named,
+                    &key,
+                    format!("{list}: no counterpart; pairs, or unpaired = \"refuse\""),
+                ),
+            }
+        }
+        for word in words {
+            let back = counterpart(word).and_then(|other| match pairs {
+                [] => Some(other),
+                pairs => pairs.iter().find(|pair| pair[there] == *other).map(|pair| &pair[here]),
+            });
+            if let Some(back) = back.filter(|back| *back != word) {
+                self.note(sides, side, &from.path, format!("{word} comes back as {back}"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/translate/src/field.rs
@@ -0,0 +1,503 @@
+//! Typed fields: how a value of each type stands in a message, and what is wrong with one that does not.
+
+use crate::node::Node;
+use crate::units::Unit;
+use jiff::civil::{Date, DateTime};
+use jiff::tz::{AmbiguousOffset, Offset, TimeZone};
+use jiff::Timestamp;
+use rust_decimal::Decimal;
+
+/// A field of one side's message.
+#[derive(Debug, Clone)]
+pub struct Field {
+    /// Its name; records on the way are parted by points.
+    pub path: String,
+    /// Its type.
+    pub kind: Kind,
+    /// A message may come without it.
+    pub optional: bool,
+}
+
+/// The type of a field.
+#[derive(Debug, Clone)]
+pub enum Kind {
+    /// Characters, so many at least and at most.
+    Text(usize, usize),
+    /// A whole number within bounds, written with so many digits at least.
+    Integer(i128, i128, usize),
+    /// A decimal within bounds, with so many digits after the point at most.
+    Decimal(Decimal, Decimal, u32),
+    /// A decimal within bounds, with so many digits after the point, in a unit.
+    Quantity(Decimal, Decimal, u32, &'static Unit),
+    /// A day, in a form as of strftime.
+    Date(String),
+    /// A moment.
+    Time(Clock),
+    /// One of these words.
+    Choice(Vec<String>),
+    /// Yes or no, by these words where the form has no flags.
+    Flag(String, String),
+    /// So many items at most, each with these fields.
+    Group(usize, Vec<Field>),
+}
+
+/// How moments are written.
+#[derive(Debug, Clone)]
+pub struct Clock {
+    /// Their form.
+    pub form: ClockForm,
+    /// The zone of local times, and the one that moments without an offset are written in.
+    pub zone: TimeZone,
+    /// Which is meant where the clock was set back and shows an hour twice.
+    pub fold: Fold,
+}
+
+/// The form of a moment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClockForm {
+    /// RFC 3339, with its offset.
+    Rfc3339,
+    /// Seconds since 1970.
+    Unix,
+    /// A local time, in a form as of strftime.
+    Local(String),
+}
+
+/// Which of two moments that a clock shows alike.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fold {
+    /// Neither: the message is refused.
+    Refuse,
+    /// The first.
+    Earlier,
+    /// The second.
+    Later,
+}
+
+/// How finely a form tells time, coarsest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Grain {
+    /// Minutes.
+    Minute,
+    /// Seconds.
+    Second,
+    /// Parts of a second.
+    Fraction,
+}
+
+impl Clock {
+    /// How finely it tells time.
+    pub fn grain(&self) -> Grain {
+        match &self.form {
+            ClockForm::Rfc3339 => Grain::Fraction,
+            ClockForm::Unix => Grain::Second,
+            ClockForm::Local(form) if form.contains("%f") || form.contains("%.f") => Grain::Fraction,
+            ClockForm::Local(form) if form.contains("%S") || form.contains("%T") => Grain::Second,
+            ClockForm::Local(_) => Grain::Minute,
+        }
+    }
+
+    /// The moment that it shows with nothing finer than its grain.
+    pub fn cut(&self, moment: Moment) -> Moment {
+        let unit = match self.grain() {
+            Grain::Minute => 60,
+            Grain::Second => 1,
+            Grain::Fraction => return moment,
+        };
+        let seconds = moment.at.as_second() - i64::from(moment.at.subsec_nanosecond() < 0);
+        let at = Timestamp::from_second(seconds - seconds.rem_euclid(unit)).unwrap_or(moment.at);
+        Moment { at, ..moment }
+    }
+
+    fn read(&self, text: &str) -> Result<Moment, String> {
+        match &self.form {
+            ClockForm::Rfc3339 => rfc3339(text),
+            ClockForm::Unix => {
+                let seconds = integer(text)?;
+                let at = i64::try_from(seconds).ok().and_then(|seconds| Timestamp::from_second(seconds).ok());
+                Ok(Moment { at: at.ok_or("out of the range of times")?, offset: None })
+            }
+            ClockForm::Local(form) => {
+                let wrong = || format!("not a time as {form:?}");
+                let local = DateTime::strptime(form, text).map_err(|_| wrong())?;
+                // Leap seconds, missing zeros and the like would come out otherwise than they came in.
+                if local.strftime(form).to_string() != text {
+                    return Err(if text.contains("60") {
+                        "a leap second, or not a time as its form".into()
+                    } else {
+                        wrong()
+                    });
+                }
+                let ambiguous = self.zone.to_ambiguous_timestamp(local);
+                let offset = match (ambiguous.offset(), self.fold) {
+                    (AmbiguousOffset::Unambiguous { offset }, _) => offset,
+                    (AmbiguousOffset::Gap { .. }, _) => {
+                        return Err("a local time that no clock showed: it was set forward".into())
+                    }
+                    (AmbiguousOffset::Fold { before, .. }, Fold::Earlier) => before,
+                    (AmbiguousOffset::Fold { after, .. }, Fold::Later) => after,
+                    (AmbiguousOffset::Fold { .. }, Fold::Refuse) => {
+                        return Err("a local time that the clock showed twice: it was set back".into())
+                    }
+                };
+                let at = offset.to_timestamp(local).map_err(|_| "out of the range of times")?;
+                Ok(Moment { at, offset: Some(offset) })
+            }
+        }
+    }
+
+    fn write(&self, moment: Moment) -> Result<String, String> {
+        let text = match &self.form {
+            ClockForm::Unix => moment.at.as_second().to_string(),
+            ClockForm::Rfc3339 => {
+                let offset = moment.offset.unwrap_or_else(|| self.zone.to_offset(moment.at));
+                if offset.seconds() % 60 != 0 {
+                    return Err("an offset of parts of a minute".into());
+                }
+                let local = offset.to_datetime(moment.at);
+                let sign = if offset.seconds() < 0 { '-' } else { '+' };
+                let minutes = offset.seconds().abs() / 60;
+                let local = match offset == Offset::UTC {
+                    true => format!("{}Z", local.strftime("%Y-%m-%dT%H:%M:%S%.f")),
+                    false => format!(
+                        "{}{sign}{:02}:{:02}",
+                        local.strftime("%Y-%m-%dT%H:%M:%S%.f"),
+                        minutes / 60,
+                        minutes % 60
+                    ),
+                };
+                local
+            }
+            ClockForm::Local(form) => self.zone.to_datetime(moment.at).strftime(form).to_string(),
+        };
+        // The second of two hours that look alike, and years that the form has no digits for.
+        match self.read(&text) {
+            Ok(again) if again.at == moment.at => Ok(text),
+            Ok(_) => Err(format!("it would be written as {text:?}, which is another moment")),
+            Err(why) => Err(format!("it would be written as {text:?}: {why}")),
+        }
+    }
+}
+
+/// RFC 3339, 5.6, in capitals as its 4.3 recommends.
+fn rfc3339(text: &str) -> Result<Moment, String> {
+    let bytes = text.as_bytes();
+    let shape = |from: usize, like: &[u8]| {
+        like.iter().enumerate().all(|(n, &c)| match bytes.get(from + n) {
+            Some(byte) if c == b'0' => byte.is_ascii_digit(),
+            byte => byte == Some(&c),
+        })
+    };
+    let wrong = || "not a time as of RFC 3339".to_owned();
+    if !shape(0, b"0000-00-00T00:00:00") {
+        return Err(wrong());
+    }
+    let mut end = 19;
+    if bytes.get(end) == Some(&b'.') {
+        let digits = bytes[end + 1..].iter().take_while(|byte| byte.is_ascii_digit()).count();
+        if !(1..=9).contains(&digits) {
+            return Err("from one to nine digits of a second".into());
+        }
+        end += 1 + digits;
+    }
+    if &bytes[17..19] == b"60" {
+        return Err("a leap second, which the other side has no way to write".into());
+    }
+    let local: DateTime = text[..end].parse().map_err(|_| wrong())?;
+    let offset = match &bytes[end..] {
+        b"Z" => Some(Offset::UTC),
+        b"-00:00" => None,
+        rest if rest.len() == 6 && (shape(end, b"+00:00") || shape(end, b"-00:00")) => {
+            let part = |from: usize| text[from..from + 2].parse::<i32>().unwrap_or(99);
+            let (hours, minutes) = (part(end + 1), part(end + 4));
+            if hours > 23 || minutes > 59 {
+                return Err(wrong());
+            }
+            let seconds = (hours * 60 + minutes) * if rest[0] == b'-' { -60 } else { 60 };
+            Some(Offset::from_seconds(seconds).map_err(|_| wrong())?)
+        }
+        _ => return Err(wrong()),
+    };
+    let at = offset.unwrap_or(Offset::UTC).to_timestamp(local).map_err(|_| wrong())?;
+    Ok(Moment { at, offset })
+}
+
+/// A moment, and the offset that it was written with.
+#[derive(Debug, Clone, Copy)]
+pub struct Moment {
+    /// When.
+    pub at: Timestamp,
+    /// None if it is not known where.
+    pub offset: Option<Offset>,
+}
+
+/// Moments are equal wherever they are told.
+impl PartialEq for Moment {
+    fn eq(&self, other: &Self) -> bool {
+        self.at == other.at
+    }
+}
+
+/// What a field holds.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Value {
+    /// Of [`Kind::Text`].
+    Text(String),
+    /// Of [`Kind::Integer`].
+    Integer(i128),
+    /// Of [`Kind::Decimal`] and [`Kind::Quantity`], in its unit.
+    Decimal(Decimal),
+    /// Of [`Kind::Date`].
+    Date(Date),
+    /// Of [`Kind::Time`].
+    Time(Moment),
+    /// Of [`Kind::Choice`].
+    Choice(String),
+    /// Of [`Kind::Flag`].
+    Flag(bool),
+    /// Of [`Kind::Group`]: its items, with a value or none for each field.
+    Group(Vec<Vec<Option<Value>>>),
+}
+
+/// What sets forms apart in how they hold values.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Typing {
+    /// Numbers and flags are not texts.
+    pub typed: bool,
+    /// A list of one looks like the one.
+    pub lone_items: bool,
+}
+
+fn integer(text: &str) -> Result<i128, String> {
+    let digits = text.strip_prefix('-').unwrap_or(text);
+    if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err("not a whole number".into());
+    }
+    text.parse().map_err(|_| "too large a number".into())
+}
+
+/// Digits, at most one point with digits on both sides, and a minus before them.
+fn decimal(text: &str) -> Result<Decimal, String> {
+    let plain = text.strip_prefix('-').unwrap_or(text);
+    let (whole, part) = plain.split_once('.').unwrap_or((plain, "0"));
+    let digits = |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    if !digits(whole) || !digits(part) {
+        return Err("not a decimal".into());
+    }
+    // Exactly, or the number would lose its last digits without a word.
+    Decimal::from_str_exact(text).map_err(|_| "more digits than can be kept".into())
+}
+
+/// A number in JSON's grammar without its exponent, if it can be written so.
+fn plain(number: &str) -> Result<String, String> {
+    let Some((digits, exponent)) = number.split_once(['e', 'E']) else { return Ok(number.to_owned()) };
+    let exponent: i32 = exponent.parse().map_err(|_| "too large a number")?;
+    let value = decimal(digits)?;
+    let power = Decimal::from_str_exact(&match exponent {
+        0..=27 => format!("1{}", "0".repeat(exponent as usize)),
+        -27..0 => format!("0.{}1", "0".repeat(exponent.unsigned_abs() as usize - 1)),
+        _ => return Err("too large or too small a number".into()),
+    });
+    let scale = value.scale() as i32 - exponent;
+    let exact = power.ok().and_then(|power| value.checked_mul(power)).filter(|_| scale <= 28);
+    exact.map(|value| value.normalize().to_string()).ok_or_else(|| "too large or too small a number".into())
+}
+
+impl Field {
+    /// Reads the field from a message of its side.
+    pub fn read(&self, message: &Node, typing: Typing) -> Result<Option<Value>, String> {
+        match message.at(&self.path) {
+            None | Some(Node::Null) => match &self.kind {
+                Kind::Group(..) => Ok(Some(Value::Group(Vec::new()))),
+                _ if self.optional => Ok(None),
+                _ => Err("missing".into()),
+            },
+            Some(node) => self.value(node, typing),
+        }
+    }
+
+    fn value(&self, node: &Node, typing: Typing) -> Result<Option<Value>, String> {
+        let wrong = || format!("{} where {} should be", node.kind(), self.kind.name());
+        if let Kind::Group(most, fields) = &self.kind {
+            let items = match node {
+                Node::List(items) => items.as_slice(),
+                one if typing.lone_items => std::slice::from_ref(one),
+                _ => return Err(wrong()),
+            };
+            if items.len() > *most {
+                return Err(format!("{} items, of {most} at most", items.len()));
+            }
+            let item = |(n, item): (usize, &Node)| {
+                if !matches!(item, Node::Record(_))
+                    && !matches!(item, Node::Text(text) if text.trim().is_empty())
+                {
+                    return Err(format!("item {}: {} where a record should be", n + 1, item.kind()));
+                }
+                stray(item, fields, None)
+                    .map_or(Ok(()), |name| Err(format!("item {}: {name:?} is no field of it", n + 1)))?;
+                let read = |field: &Field| {
+                    field.read(item, typing).map_err(|why| format!("item {}, {:?}: {why}", n + 1, field.path))
+                };
+                fields.iter().map(read).collect()
+            };
+            return items
+                .iter()
+                .enumerate()
+                .map(item)
+                .collect::<Result<_, _>>()
+                .map(|all| Some(Value::Group(all)));
+        }
+        let text = match (node, &self.kind) {
+            (Node::Flag(flag), Kind::Flag(..)) => return Ok(Some(Value::Flag(*flag))),
+            (Node::Number(digits), kind) if kind.is_number() => &plain(digits)?,
+            (Node::Text(text), kind)
+                if !typing.typed || !kind.is_number() && !matches!(kind, Kind::Flag(..)) =>
+            {
+                text
+            }
+            _ => return Err(wrong()),
+        };
+        if text.is_empty() && !matches!(self.kind, Kind::Text(..)) {
+            return if self.optional { Ok(None) } else { Err("empty".into()) };
+        }
+        self.kind.parse(text).map(Some)
+    }
+
+    /// What the field looks like in a message of its side.
+    pub fn write(&self, value: &Value, typing: Typing) -> Result<Node, String> {
+        if let (Kind::Group(most, fields), Value::Group(items)) = (&self.kind, value) {
+            if items.len() > *most {
+                return Err(format!("{} items, of {most} at most", items.len()));
+            }
+            let item = |values: &Vec<Option<Value>>| {
+                let mut record = Node::record();
+                for (field, value) in fields.iter().zip(values) {
+                    if let Some(value) = value {
+                        record.put(&field.path, field.write(value, typing)?);
+                    }
+                }
+                Ok(record)
+            };
+            return items.iter().map(item).collect::<Result<_, String>>().map(Node::List);
+        }
+        let text = self.kind.format(value)?;
+        // What is written must be what would be read: within its bounds, its length, its words.
+        self.kind.parse(&text)?;
+        Ok(match value {
+            Value::Flag(flag) if typing.typed => Node::Flag(*flag),
+            _ if typing.typed && self.kind.is_number() => Node::Number(text),
+            _ => Node::Text(text),
+        })
+    }
+}
+
+/// A name in a record that none of the fields has, nor `extension`.
+pub fn stray(record: &Node, fields: &[Field], extension: Option<&str>) -> Option<String> {
+    fn within(node: &Node, path: &str, fields: &[Field], extension: Option<&str>) -> Option<String> {
+        let Node::Record(members) = node else { return Some(path.to_owned()) };
+        members.iter().find_map(|(name, value)| {
+            let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
+            let known = extension == Some(&path) || fields.iter().any(|field| field.path == path);
+            let above =
+                fields.iter().any(|f| f.path.strip_prefix(&path).is_some_and(|rest| rest.starts_with('.')));
+            match (known, above, value) {
+                (true, ..) | (_, true, Node::Null) => None,
+                (false, true, _) => within(value, &path, fields, extension),
+                _ => Some(path),
+            }
+        })
+    }
+    match record {
+        Node::Record(_) => within(record, "", fields, extension),
+        _ => None,
+    }
+}
+
+impl Kind {
+    /// Its name, as files have it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Kind::Text(..) => "text",
+            Kind::Integer(..) => "integer",
+            Kind::Decimal(..) => "decimal",
+            Kind::Quantity(..) => "quantity",
+            Kind::Date(_) => "date",
+            Kind::Time(_) => "time",
+            Kind::Choice(_) => "choice",
+            Kind::Flag(..) => "flag",
+            Kind::Group(..) => "group",
+        }
+    }
+
+    fn is_number(&self) -> bool {
+        let unix = matches!(self, Kind::Time(Clock { form: ClockForm::Unix, .. }));
+        unix || matches!(self, Kind::Integer(..) | Kind::Decimal(..) | Kind::Quantity(..))
+    }
+
+    /// Reads a value from characters.
+    pub fn parse(&self, text: &str) -> Result<Value, String> {
+        match self {
+            Kind::Text(least, most) => {
+                let length = text.chars().count();
+                match (*least..=*most).contains(&length) {
+                    true => Ok(Value::Text(text.to_owned())),
+                    false => Err(format!("{length} characters, not {least} to {most}")),
+                }
+            }
+            Kind::Integer(least, most, _) => {
+                let value = integer(text)?;
+                match (*least..=*most).contains(&value) {
+                    true => Ok(Value::Integer(value)),
+                    false => Err(format!("{value} is not within {least} and {most}")),
+                }
+            }
+            Kind::Decimal(least, most, digits) | Kind::Quantity(least, most, digits, _) => {
+                let value = decimal(text)?;
+                if value.normalize().scale() > *digits {
+                    return Err(format!("{value} has more than {digits} digits after the point"));
+                }
+                match (*least..=*most).contains(&value) {
+                    true => Ok(Value::Decimal(value)),
+                    false => Err(format!("{value} is not within {least} and {most}")),
+                }
+            }
+            Kind::Date(form) => {
+                let day =
+                    Date::strptime(form, text).ok().filter(|day| day.strftime(form).to_string() == text);
+                day.map(Value::Date).ok_or_else(|| format!("not a date as {form:?}"))
+            }
+            Kind::Time(clock) => clock.read(text).map(Value::Time),
+            Kind::Choice(words) => match words.iter().any(|word| word == text) {
+                true => Ok(Value::Choice(text.to_owned())),
+                false => Err(format!("{text:?} is none of {}", words.join(", "))),
+            },
+            Kind::Flag(yes, no) => match text {
+                text if text == yes => Ok(Value::Flag(true)),
+                text if text == no => Ok(Value::Flag(false)),
+                text => Err(format!("{text:?} is neither {yes} nor {no}")),
+            },
+            Kind::Group(..) => Err("text where a group should be".into()),
+        }
+    }
+
+    /// A value in characters.
+    pub fn format(&self, value: &Value) -> Result<String, String> {
+        match (self, value) {
+            (Kind::Text(..), Value::Text(text)) | (Kind::Choice(_), Value::Choice(text)) => Ok(text.clone()),
+            (Kind::Integer(_, _, width), Value::Integer(n)) => {
+                let sign = if *n < 0 { "-" } else { "" };
+                Ok(format!("{sign}{:0width$}", n.unsigned_abs(), width = *width))
+            }
+            // A minus before nothing but zeros says nothing.
+            (Kind::Decimal(..) | Kind::Quantity(..), Value::Decimal(n)) if n.is_zero() => {
+                Ok(n.abs().to_string())
+            }
+            (Kind::Decimal(..) | Kind::Quantity(..), Value::Decimal(n)) => Ok(n.to_string()),
+            (Kind::Date(form), Value::Date(day)) => Ok(day.strftime(form).to_string()),
+            (Kind::Time(clock), Value::Time(moment)) => clock.write(*moment),
+            (Kind::Flag(yes, no), Value::Flag(flag)) => Ok(if *flag { yes } else { no }.clone()),
+            _ => Err(format!("no {}", self.name())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/translate/src/mapping.rs
@@ -0,0 +1,256 @@
+//! A mapping: what its file says, once it has no fault.
+
+use crate::charset::Charset;
+use crate::field::{Field, Typing};
+use crate::node::{Limits, Node};
+use crate::wire::{form, json, soap, table};
+use std::fmt;
+
+/// One of the two dialects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Side {
+    /// The old one.
+    Old,
+    /// The new one.
+    New,
+}
+
+impl Side {
+    /// The one that is not this.
+    pub fn other(self) -> Side {
+        match self {
+            Side::Old => Side::New,
+            Side::New => Side::Old,
+        }
+    }
+
+    /// Its name, as files have it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Side::Old => "old",
+            Side::New => "new",
+        }
+    }
+}
+
+/// One of the two messages of an exchange.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Part {
+    /// From a client.
+    Request,
+    /// From a server.
+    Answer,
+}
+
+impl Part {
+    /// Its name, as files have it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Part::Request => "request",
+            Part::Answer => "answer",
+        }
+    }
+}
+
+/// The form of messages on the wire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Form {
+    /// `application/x-www-form-urlencoded`.
+    Form,
+    /// Delimited text.
+    Table,
+    /// SOAP 1.1.
+    Soap,
+    /// JSON.
+    Json,
+}
+
+impl Form {
+    /// How it holds values.
+    pub fn typing(self) -> Typing {
+        Typing { typed: self == Form::Json, lone_items: self == Form::Soap }
+    }
+
+    /// The `Content-Type` of a message.
+    pub fn content_type(self, charset: Charset) -> String {
+        match self {
+            Form::Form => "application/x-www-form-urlencoded".into(),
+            Form::Table => format!("text/plain; charset={}", charset.name()),
+            Form::Soap => format!("text/xml; charset={}", charset.name()),
+            Form::Json => "application/json".into(),
+        }
+    }
+}
+
+/// A fault of a mapping file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Where, counted from one.
+    pub line: usize,
+    /// What it is about, as `request.old.STN`; empty where the file itself can't be read.
+    pub key: String,
+    /// What is wrong.
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.key.as_str() {
+            "" => write!(f, "line {}: {}", self.line, self.what),
+            key => write!(f, "line {}: {key}: {}", self.line, self.what),
+        }
+    }
+}
+
+/// Values that do not come back as they went.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Note {
+    /// Of which message.
+    pub part: Part,
+    /// Of which field.
+    pub field: String,
+    /// The side that they come from.
+    pub from: Side,
+    /// Exactly which, and what becomes of them.
+    pub text: String,
+}
+
+/// How one side speaks.
+#[derive(Debug, Clone)]
+pub struct Dialect {
+    /// The form of its requests.
+    pub form: Form,
+    /// That of its answers.
+    pub answers: Form,
+    /// The method of its requests.
+    pub method: String,
+    /// Their path.
+    pub path: String,
+    /// Their characters, and those of the answers.
+    pub charset: Charset,
+    /// What parts the columns of delimited text.
+    pub delimiter: u8,
+    /// Where the other side's carried fields stand.
+    pub extension: Option<String>,
+    /// The element of a SOAP call; that of its answer is this with `Response` behind it.
+    pub operation: String,
+    /// The namespace of both.
+    pub namespace: String,
+    pub(crate) request: Vec<Field>,
+    pub(crate) answer: Vec<Field>,
+}
+
+impl Dialect {
+    /// The fields of a message.
+    pub fn fields(&self, part: Part) -> &[Field] {
+        match part {
+            Part::Request => &self.request,
+            Part::Answer => &self.answer,
+        }
+    }
+
+    /// The form of a message.
+    pub fn form(&self, part: Part) -> Form {
+        match part {
+            Part::Request => self.form,
+            Part::Answer => self.answers,
+        }
+    }
+
+    fn element(&self, part: Part) -> String {
+        match part {
+            Part::Request => self.operation.clone(),
+            Part::Answer => format!("{}Response", self.operation),
+        }
+    }
+
+    fn shape(&self, part: Part) -> table::Shape {
+        let mut shape = table::Shape { extension: self.extension.clone(), ..Default::default() };
+        for field in self.fields(part) {
+            match &field.kind {
+                crate::field::Kind::Group(_, fields) => {
+                    shape.groups.push((field.path.clone(), fields.iter().map(|f| f.path.clone()).collect()));
+                }
+                _ => shape.fields.push(field.path.clone()),
+            }
+        }
+        shape
+    }
+
+    /// Reads a message of this side.
+    pub fn decode(&self, part: Part, bytes: &[u8], limits: Limits) -> Result<Node, String> {
+        match self.form(part) {
+            Form::Form => form::decode(bytes, self.charset, limits),
+            Form::Json => json::decode(bytes, limits),
+            Form::Table => table::decode(bytes, self.charset, self.delimiter, &self.shape(part), limits),
+            Form::Soap => match soap::decode(bytes, self.charset, limits)? {
+                soap::Body::Call { namespace, name, fields } => {
+                    match namespace == self.namespace && name == self.element(part) {
+                        true => Ok(fields),
+                        false => Err(format!("{name:?} of {namespace:?} is not {:?}", self.element(part))),
+                    }
+                }
+                soap::Body::Fault { code, text } => Err(format!("a Fault, {code}: {text}")),
+            },
+        }
+    }
+
+    /// Writes a message of this side.
+    pub fn encode(&self, part: Part, message: &Node) -> Result<Vec<u8>, String> {
+        match self.form(part) {
+            Form::Form => form::encode(message, self.charset),
+            Form::Json => Ok(json::encode(message)),
+            Form::Table => table::encode(message, self.charset, self.delimiter, &self.shape(part)),
+            Form::Soap => soap::encode(&self.namespace, &self.element(part), message, self.charset),
+        }
+    }
+}
+
+/// A pair of messages in two dialects, and how each becomes the other.
+#[derive(Debug, Clone)]
+pub struct Mapping {
+    /// Its name.
+    pub name: String,
+    /// Its version.
+    pub version: u32,
+    /// The class of its requests.
+    pub class: String,
+    /// The old dialect.
+    pub old: Dialect,
+    /// The new one.
+    pub new: Dialect,
+    /// Where messages are not the same after a way there and back.
+    pub notes: Vec<Note>,
+    pub(crate) request: Vec<crate::convert::Rule>,
+    pub(crate) answer: Vec<crate::convert::Rule>,
+    pub(crate) key: Option<(Vec<usize>, String)>,
+}
+
+impl Mapping {
+    /// One side's dialect.
+    pub fn dialect(&self, side: Side) -> &Dialect {
+        match side {
+            Side::Old => &self.old,
+            Side::New => &self.new,
+        }
+    }
+
+    /// The key of an old request's repeats, from the fields that its file names; None if it names none, or if one is
+    /// not there.
+    pub fn key(&self, request: &Node) -> Option<String> {
+        let (fields, namespace) = self.key.as_ref()?;
+        let part = |&at: &usize| {
+            let field = &self.old.request[at];
+            let value = field.read(request, self.old.form.typing()).ok()??;
+            field.kind.format(&value).ok().filter(|text| !text.is_empty())
+        };
+        let parts: Option<Vec<String>> = fields.iter().map(part).collect();
+        parts.map(|parts| crate::key::key(namespace, parts.iter().map(String::as_str)))
+    }
+}
+
+/// Reads a mapping file, or says all that is wrong with it.
+pub fn read(text: &str) -> Result<Mapping, Vec<Fault>> {
+    crate::compile::compile(text, crate::file::parse(text)?)
+}
--- /dev/null
+++ b/crates/translate/src/node.rs
@@ -0,0 +1,125 @@
+//! What every form is decoded into: names, texts, lists. Types come later, from the mapping.
+
+use std::fmt;
+
+/// A value as a form carries it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Node {
+    /// It says that there is none: `null` in JSON (RFC 8259, 3), `xsi:nil` in SOAP.
+    Null,
+    /// Characters.
+    Text(String),
+    /// A number in JSON's grammar (RFC 8259, 6), digit for digit as it came.
+    Number(String),
+    /// `true` or `false` in JSON.
+    Flag(bool),
+    /// Named values, in their order; no name twice.
+    Record(Vec<(String, Node)>),
+    /// Values of one name.
+    List(Vec<Node>),
+}
+
+impl Node {
+    /// An empty record.
+    pub fn record() -> Node {
+        Node::Record(Vec::new())
+    }
+
+    /// The value at a path whose steps are parted by points.
+    pub fn at(&self, path: &str) -> Option<&Node> {
+        path.split('.').try_fold(self, |node, step| match node {
+            Node::Record(members) => members.iter().find(|(name, _)| name == step).map(|(_, value)| value),
+            _ => None,
+        })
+    }
+
+    /// Puts a value at a path, with records on the way. A value that stands there is replaced.
+    pub fn put(&mut self, path: &str, value: Node) {
+        let (step, rest) = match path.split_once('.') {
+            Some((step, rest)) => (step, Some(rest)),
+            None => (path, None),
+        };
+        if !matches!(self, Node::Record(_)) {
+            *self = Node::record();
+        }
+        let Node::Record(members) = self else { return };
+        let place = members.iter().position(|(name, _)| name == step).unwrap_or_else(|| {
+            members.push((step.to_owned(), Node::record()));
+            members.len() - 1
+        });
+        match rest {
+            Some(rest) => members[place].1.put(rest, value),
+            None => members[place].1 = value,
+        }
+    }
+
+    /// What kind of value it is, for people.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Node::Null => "null",
+            Node::Text(_) => "text",
+            Node::Number(_) => "a number",
+            Node::Flag(_) => "true or false",
+            Node::Record(_) => "a record",
+            Node::List(_) => "a list",
+        }
+    }
+}
+
+impl fmt::Display for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Node::Null => f.write_str("null"),
+            Node::Text(text) => write!(f, "{text:?}"),
+            Node::Number(digits) => f.write_str(digits),
+            Node::Flag(flag) => write!(f, "{flag}"),
+            Node::Record(members) => write!(f, "{{{} members}}", members.len()),
+            Node::List(items) => write!(f, "[{} items]", items.len()),
+        }
+    }
+}
+
+/// What a message may hold at most; past that it is refused, whatever its form.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of the body.
+    pub bytes: usize,
+    /// Values in all.
+    pub fields: usize,
+    /// Records and lists in each other.
+    pub depth: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { bytes: 64 * 1024, fields: 4096, depth: 8 }
+    }
+}
+
+/// Counts what a message holds against its limits.
+#[derive(Debug)]
+pub(crate) struct Count {
+    limits: Limits,
+    fields: usize,
+}
+
+impl Count {
+    pub(crate) fn new(limits: Limits, bytes: usize) -> Result<Self, String> {
+        match bytes > limits.bytes {
+            true => Err(format!("{bytes} bytes, of {} at most", limits.bytes)),
+            false => Ok(Count { limits, fields: 0 }),
+        }
+    }
+
+    /// Another value, so deep within others.
+    pub(crate) fn value(&mut self, depth: usize) -> Result<(), String> {
+        self.fields += 1;
+        if self.fields > self.limits.fields {
+            return Err(format!("more than {} fields", self.limits.fields));
+        }
+        if depth > self.limits.depth {
+            return Err(format!("nested deeper than {}", self.limits.depth));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/translate/src/units.rs
@@ -0,0 +1,192 @@
+//! Units and exact conversion between them.
+//!
+//! A unit is a ratio of whole numbers and an offset to the SI unit of its dimension, so that nothing is rounded but the
+//! last step, and that only as the mapping says. Ratios are those of the 1959 yard and pound agreement (1 in = 25.4 mm,
+//! 1 mi = 1609.344 m) and of the international nautical mile (1852 m).
+
+use rust_decimal::Decimal;
+
+/// A unit that mapping files may name.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Unit {
+    /// Its symbol, as files have it.
+    pub symbol: &'static str,
+    /// What it measures; only units of one dimension convert.
+    pub dimension: &'static str,
+    /// SI units in `per` of these: how many,
+    times: i128,
+    /// and the number that it is divided by.
+    per: i128,
+    /// Added before the ratio, in hundredths of this unit.
+    offset: i128,
+}
+
+const fn unit(symbol: &'static str, dimension: &'static str, times: i128, per: i128, offset: i128) -> Unit {
+    Unit { symbol, dimension, times, per, offset }
+}
+
+/// All units.
+pub const UNITS: &[Unit] = &[
+    unit("m", "length", 1, 1, 0),
+    unit("mm", "length", 1, 1000, 0),
+    unit("cm", "length", 1, 100, 0),
+    unit("km", "length", 1000, 1, 0),
+    unit("in", "length", 127, 5000, 0),
+    unit("ft", "length", 381, 1250, 0),
+    unit("mi", "length", 201_168, 125, 0),
+    unit("nmi", "length", 1852, 1, 0),
+    unit("m/s", "speed", 1, 1, 0),
+    unit("km/h", "speed", 5, 18, 0),
+    unit("mi/h", "speed", 1397, 3125, 0),
+    unit("kn", "speed", 463, 900, 0),
+    unit("K", "temperature", 1, 1, 0),
+    unit("degC", "temperature", 1, 1, 27_315),
+    unit("degF", "temperature", 5, 9, 45_967),
+    unit("Pa", "pressure", 1, 1, 0),
+    unit("hPa", "pressure", 100, 1, 0),
+];
+
+/// The unit of a symbol.
+pub fn find(symbol: &str) -> Option<&'static Unit> {
+    UNITS.iter().find(|unit| unit.symbol == symbol)
+}
+
+/// How the last digit is found where a value has more than may be kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rounding {
+    /// To the nearest; halves to the even digit.
+    HalfEven,
+    /// To the nearest; halves away from zero.
+    HalfUp,
+    /// Towards zero.
+    Down,
+}
+
+impl Rounding {
+    /// Its name, as files have it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Rounding::HalfEven => "half-even",
+            Rounding::HalfUp => "half-up",
+            Rounding::Down => "down",
+        }
+    }
+}
+
+/// A ratio of whole numbers; the lower one is above zero.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ratio {
+    above: i128,
+    below: i128,
+}
+
+fn divisor(mut a: u128, mut b: u128) -> u128 {
+    while b != 0 {
+        (a, b) = (b, a % b);
+    }
+    a
+}
+
+impl Ratio {
+    fn new(above: i128, below: i128) -> Option<Ratio> {
+        let by = i128::try_from(divisor(above.unsigned_abs(), below.unsigned_abs())).ok()?.max(1);
+        Some(Ratio { above: above / by, below: below / by })
+    }
+
+    /// The ratio that a decimal is.
+    pub fn of(value: Decimal) -> Option<Ratio> {
+        Ratio::new(value.mantissa(), 10_i128.checked_pow(value.scale())?)
+    }
+
+    fn times(self, above: i128, below: i128) -> Option<Ratio> {
+        let (first, second) = (Ratio::new(self.above, below)?, Ratio::new(above, self.below)?);
+        Ratio::new(first.above.checked_mul(second.above)?, first.below.checked_mul(second.below)?)
+    }
+
+    fn plus(self, hundredths: i128) -> Option<Ratio> {
+        let above = self.above.checked_mul(100)?.checked_add(hundredths.checked_mul(self.below)?)?;
+        Ratio::new(above, self.below.checked_mul(100)?)
+    }
+
+    /// The decimal with so many digits after the point at most, and whether it is less exact than the ratio. None if
+    /// it is too large.
+    pub fn round(self, digits: u32, rounding: Rounding) -> Option<(Decimal, bool)> {
+        let scaled = Ratio::new(self.above, self.below)?.times(10_i128.checked_pow(digits)?, 1)?;
+        let (whole, rest) = (scaled.above / scaled.below, scaled.above % scaled.below);
+        let up = match rounding {
+            Rounding::Down => false,
+            Rounding::HalfUp => rest.unsigned_abs() >= scaled.below.unsigned_abs() - rest.unsigned_abs(),
+            Rounding::HalfEven => {
+                let (low, high) = (rest.unsigned_abs(), scaled.below.unsigned_abs() - rest.unsigned_abs());
+                low > high || low == high && whole % 2 != 0
+            }
+        };
+        let whole = if up { whole.checked_add(scaled.above.signum())? } else { whole };
+        Some((Decimal::try_from_i128_with_scale(whole, digits).ok()?, rest != 0))
+    }
+}
+
+/// The value in another unit of the same dimension, exactly. None if a number on the way is too large.
+pub fn convert(value: Decimal, from: &Unit, to: &Unit) -> Option<Ratio> {
+    let si = Ratio::of(value)?.plus(from.offset)?.times(from.times, from.per)?;
+    si.times(to.per, to.times)?.plus(-to.offset)
+}
+
+/// Digits after the point that every value of `from` with `digits` of them may need in `to`; None if no number of
+/// digits is enough.
+pub fn exact_digits(from: &Unit, to: &Unit, digits: u32) -> Option<u32> {
+    (0..=27).find(|&more| {
+        let steps = [Decimal::ZERO, Decimal::new(1, digits.min(27))];
+        steps.iter().all(|&step| {
+            convert(step, from, to)
+                .and_then(|exact| exact.round(more, Rounding::Down))
+                .is_some_and(|(_, lost)| !lost)
+        })
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn say(value: &str, from: &str, to: &str, digits: u32) -> (String, bool) {
+        let (from, to) = (find(from).unwrap(), find(to).unwrap());
+        let (value, lost) =
+            convert(value.parse().unwrap(), from, to).unwrap().round(digits, Rounding::HalfEven).unwrap();
+        (value.normalize().to_string(), lost)
+    }
+
+    #[test]
+    fn the_agreed_ratios_hold() {
+        assert_eq!(say("1", "in", "mm", 1), ("25.4".into(), false));
+        assert_eq!(say("1", "mi", "m", 3), ("1609.344".into(), false));
+        assert_eq!(say("1", "mi/h", "m/s", 5), ("0.44704".into(), false));
+        assert_eq!(say("9", "kn", "m/s", 2), ("4.63".into(), false));
+        assert_eq!(say("1", "kn", "m/s", 4), ("0.5144".into(), true));
+        assert_eq!(say("32", "degF", "degC", 2), ("0".into(), false));
+        assert_eq!(say("-40", "degC", "degF", 2), ("-40".into(), false));
+        assert_eq!(say("100", "degF", "degC", 1), ("37.8".into(), true));
+        assert_eq!(say("1000000000000000000", "nmi", "m", 0), ("1852000000000000000000".into(), false));
+    }
+
+    #[test]
+    fn halves_go_where_they_are_told() {
+        let half =
+            |text: &str, rounding| Ratio::of(text.parse().unwrap()).unwrap().round(0, rounding).unwrap().0;
+        assert_eq!(half("2.5", Rounding::HalfEven), Decimal::from(2));
+        assert_eq!(half("-3.5", Rounding::HalfEven), Decimal::from(-4));
+        assert_eq!(half("-2.5", Rounding::HalfUp), Decimal::from(-3));
+        assert_eq!(half("-2.9", Rounding::Down), Decimal::from(-2));
+    }
+
+    #[test]
+    fn how_many_digits_are_enough_is_known_beforehand() {
+        let digits = |from, to, digits| exact_digits(find(from).unwrap(), find(to).unwrap(), digits);
+        assert_eq!(digits("in", "mm", 2), Some(3));
+        assert_eq!(digits("mi/h", "m/s", 1), Some(6));
+        assert_eq!(digits("kn", "m/s", 0), None);
+        assert_eq!(digits("degF", "degC", 0), None);
+        assert_eq!(digits("degC", "degF", 1), Some(2));
+    }
+}
--- /dev/null
+++ b/crates/translate/src/wire/form.rs
@@ -0,0 +1,145 @@
+//! `application/x-www-form-urlencoded` (WHATWG URL standard, 5), in any [`Charset`].
+//!
+//! Records are written as `record.field`, lists as `list.1.field`, counted from 1 without gaps.
+
+use crate::charset::Charset;
+use crate::node::{Count, Limits, Node};
+use std::borrow::Cow;
+
+/// Reads a query or a body. A name that comes twice is refused: which of the two was meant is not known.
+pub fn decode(bytes: &[u8], charset: Charset, limits: Limits) -> Result<Node, String> {
+    let mut count = Count::new(limits, bytes.len())?;
+    let mut message = Node::record();
+    for pair in bytes.split(|&byte| byte == b'&').filter(|pair| !pair.is_empty()) {
+        let (name, value) = match pair.iter().position(|&byte| byte == b'=') {
+            Some(at) => (&pair[..at], &pair[at + 1..]),
+            None => (pair, &pair[pair.len()..]),
+        };
+        let (name, value) = (part(name, charset)?, part(value, charset)?);
+        let steps: Vec<&str> = name.split('.').collect();
+        count.value(steps.len())?;
+        place(&mut message, &steps, value).map_err(|why| format!("{name:?}: {why}"))?;
+    }
+    Ok(message)
+}
+
+fn part(bytes: &[u8], charset: Charset) -> Result<String, String> {
+    let spaced: Cow<'_, [u8]> = match bytes.contains(&b'+') {
+        true => bytes.iter().map(|&byte| if byte == b'+' { b' ' } else { byte }).collect(),
+        false => bytes.into(),
+    };
+    charset.decode(&Cow::from(percent_encoding::percent_decode(&spaced)))
+}
+
+fn index(step: &str) -> Option<usize> {
+    let plain = !step.starts_with('0') && step.bytes().all(|byte| byte.is_ascii_digit());
+    plain.then(|| step.parse().ok()).flatten()
+}
+
+fn place(node: &mut Node, steps: &[&str], text: String) -> Result<(), String> {
+    let Some((step, rest)) = steps.split_first() else {
+        *node = Node::Text(text);
+        return Ok(());
+    };
+    // What is new on the way becomes a list if the next step counts, a record if it names, and the text at the end.
+    let fresh = || match rest.first() {
+        Some(next) if index(next).is_some() => Node::List(Vec::new()),
+        _ => Node::record(),
+    };
+    let next = match (node, index(step)) {
+        (Node::List(items), Some(number)) if number == items.len() + 1 => {
+            items.push(fresh());
+            items.last_mut()
+        }
+        (Node::List(items), Some(number)) if number <= items.len() && !rest.is_empty() => {
+            items.get_mut(number - 1)
+        }
+        (Node::List(_), _) => return Err("items are numbered from 1 without gaps, each once".into()),
+        (Node::Record(members), None) => match members.iter().position(|(name, _)| name == step) {
+            Some(_) if rest.is_empty() => return Err("given twice".into()),
+            Some(at) => Some(&mut members[at].1),
+            None => {
+                members.push(((*step).to_owned(), fresh()));
+                members.last_mut().map(|(_, value)| value)
+            }
+        },
+        _ => return Err("both a value and a group of values".into()),
+    };
+    next.map_or(Ok(()), |next| place(next, rest, text))
+}
+
+/// Writes a message. The error names the field whose text the charset does not have.
+pub fn encode(message: &Node, charset: Charset) -> Result<Vec<u8>, String> {
+    let mut out = String::new();
+    let mut path = String::new();
+    write(message, &mut path, charset, &mut out)?;
+    Ok(out.into_bytes())
+}
+
+fn write(node: &Node, path: &mut String, charset: Charset, out: &mut String) -> Result<(), String> {
+    let mut inner = |step: &str, value: &Node, out: &mut String| {
+        let length = path.len();
+        if length > 0 {
+            path.push('.');
+        }
+        path.push_str(step);
+        let done = write(value, path, charset, out);
+        path.truncate(length);
+        done
+    };
+    let text = match node {
+        Node::Record(members) => return members.iter().try_for_each(|(name, value)| inner(name, value, out)),
+        Node::List(items) => {
+            return (1_usize..).zip(items).try_for_each(|(n, item)| inner(&n.to_string(), item, out))
+        }
+        Node::Null => return Ok(()),
+        Node::Text(text) | Node::Number(text) => Cow::from(text),
+        Node::Flag(flag) => Cow::from(if *flag { "true" } else { "false" }),
+    };
+    let bytes = |text: &str| {
+        charset.encode(text).map_err(|c| format!("{path:?}: {} has no character {c:?}", charset.name()))
+    };
+    if !out.is_empty() {
+        out.push('&');
+    }
+    out.extend(form_urlencoded::byte_serialize(&bytes(path)?));
+    out.push('=');
+    out.extend(form_urlencoded::byte_serialize(&bytes(&text)?));
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Result<Node, String> {
+        decode(text.as_bytes(), Charset::Windows1252, Limits::default())
+    }
+
+    #[test]
+    fn names_make_records_and_lists() {
+        let text = "A=caf%E9+%80&S.ID=7&L.1.X=1&L.1.Y=2&L.2.X=&B";
+        let message = read(text).unwrap();
+        assert_eq!(message.at("A"), Some(&Node::Text("café €".into())));
+        assert_eq!(message.at("S.ID"), Some(&Node::Text("7".into())));
+        assert!(matches!(message.at("L"), Some(Node::List(items)) if items.len() == 2));
+        assert_eq!(message.at("B"), Some(&Node::Text(String::new())));
+        assert_eq!(encode(&message, Charset::Windows1252).unwrap(), format!("{text}=").into_bytes());
+    }
+
+    #[test]
+    fn what_has_two_meanings_is_refused() {
+        for text in ["A=1&A=2", "A=1&A.B=2", "L.2.X=1", "L.1.X=1&L.X=2", "L.1=1&L.1=2", "A.B=1&A=2"] {
+            assert!(read(text).is_err(), "{text}");
+        }
+        let deep = format!("{}=1", ["A"; 9].join("."));
+        assert!(read(&deep).unwrap_err().contains("deeper"));
+    }
+
+    #[test]
+    fn what_the_charset_lacks_is_named() {
+        let mut message = Node::record();
+        message.put("A", Node::Text("Łódź".into()));
+        assert!(encode(&message, Charset::Windows1252).unwrap_err().contains("'Ł'"));
+    }
+}
--- /dev/null
+++ b/crates/translate/src/wire/mod.rs
@@ -0,0 +1,7 @@
+//! The forms that messages travel in: bytes to [nodes](crate::Node) and back.
+
+pub mod form;
+pub mod json;
+pub mod soap;
+pub mod table;
+pub mod trouble;
--- /dev/null
+++ b/crates/translate/src/wire/soap.rs
@@ -0,0 +1,370 @@
+//! SOAP 1.1 envelopes (W3C note of 8 May 2000), document type declarations and processing instructions refused (as its
+//! chapter 3 asks), and so no entity but the five of XML.
+
+use crate::charset::Charset;
+use crate::node::{Count, Limits, Node};
+use quick_xml::events::{BytesStart, Event};
+use quick_xml::name::ResolveResult;
+use quick_xml::NsReader;
+use std::fmt::Write;
+
+/// The namespace of envelopes.
+pub const ENVELOPE: &str = "http://schemas.xmlsoap.org/soap/envelope/";
+const INSTANCE: &str = "http://www.w3.org/2001/XMLSchema-instance";
+/// Envelope, Body and the call itself stand around the fields.
+const AROUND: usize = 3;
+
+/// What an envelope holds.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Body {
+    /// A call, or the answer to one.
+    Call {
+        /// The namespace of its element.
+        namespace: String,
+        /// The name of its element.
+        name: String,
+        /// Its fields. Elements of one name are a list, and one alone is not.
+        fields: Node,
+    },
+    /// A Fault (4.4).
+    Fault {
+        /// Its code, without the prefix: `Client`, `Server`, `Server.Busy`.
+        code: String,
+        /// For people.
+        text: String,
+    },
+}
+
+struct Element {
+    namespace: String,
+    name: String,
+    nil: bool,
+    must_understand: bool,
+    children: Vec<Element>,
+    text: String,
+}
+
+/// Reads an envelope.
+pub fn decode(bytes: &[u8], charset: Charset, limits: Limits) -> Result<Body, String> {
+    let mut count = Count::new(limits, bytes.len())?;
+    let text = charset.decode(bytes)?;
+    let envelope = parse(text.trim_start_matches('\u{feff}'), charset, limits, &mut count)?;
+    if (envelope.namespace.as_str(), envelope.name.as_str()) != (ENVELOPE, "Envelope") {
+        return Err(format!("{:?} of {:?} is no SOAP 1.1 envelope", envelope.name, envelope.namespace));
+    }
+    let mut parts = envelope.children.into_iter().peekable();
+    if let Some(header) = parts.next_if(|part| part.namespace == ENVELOPE && part.name == "Header") {
+        if let Some(entry) = header.children.iter().find(|entry| entry.must_understand) {
+            return Err(format!("header entry {:?} must be understood and is not", entry.name));
+        }
+    }
+    let body = parts.next().filter(|part| part.namespace == ENVELOPE && part.name == "Body");
+    let mut calls = body.ok_or("no Body")?.children.into_iter();
+    let call = calls.next().ok_or("an empty Body")?;
+    if calls.next().is_some() {
+        return Err("more than one element in the Body".into());
+    }
+    if call.namespace == ENVELOPE && call.name == "Fault" {
+        let part = |name: &str| {
+            let part = call.children.iter().find(|part| part.name == name);
+            part.map(|part| part.text.trim().to_owned()).unwrap_or_default()
+        };
+        let code = part("faultcode");
+        let code = code.rsplit(':').next().unwrap_or_default().to_owned();
+        return Ok(Body::Fault { code, text: part("faultstring") });
+    }
+    let (namespace, name) = (call.namespace.clone(), call.name.clone());
+    match fields(call)? {
+        Node::Text(text) if text.is_empty() => Ok(Body::Call { namespace, name, fields: Node::record() }),
+        fields @ Node::Record(_) => Ok(Body::Call { namespace, name, fields }),
+        other => Err(format!("{name:?}: {} where fields should be", other.kind())),
+    }
+}
+
+fn parse(text: &str, charset: Charset, limits: Limits, count: &mut Count) -> Result<Element, String> {
+    let mut reader = NsReader::from_str(text);
+    let mut open: Vec<Element> = Vec::new();
+    let mut root = None;
+    loop {
+        let at = reader.buffer_position();
+        let said = |e: quick_xml::Error| format!("not XML after byte {at}: {e}");
+        let event = reader.read_event().map_err(said)?;
+        let closed = match &event {
+            Event::Start(start) | Event::Empty(start) => {
+                if root.is_some() {
+                    return Err("more than one root element".into());
+                }
+                count.value(open.len().saturating_sub(AROUND)).map_err(|why| format!("byte {at}: {why}"))?;
+                if open.len() > limits.depth + AROUND {
+                    return Err(format!("nested deeper than {}", limits.depth));
+                }
+                open.push(element(&reader, start)?);
+                matches!(event, Event::Empty(_))
+            }
+            Event::End(_) => true,
+            Event::Text(part) => {
+                let part = part.xml10_content().map_err(|e| format!("not XML after byte {at}: {e}"))?;
+                add(&mut open, &part)?;
+                false
+            }
+            Event::CData(part) => {
+                let part = part.xml10_content().map_err(|e| format!("not XML after byte {at}: {e}"))?;
+                add(&mut open, &part)?;
+                false
+            }
+            Event::GeneralRef(name) => {
+                let character = match name.resolve_char_ref().map_err(said)? {
+                    Some(character) => character,
+                    None => match &**name {
+                        b"lt" => '<',
+                        b"gt" => '>',
+                        b"amp" => '&',
+                        b"quot" => '"',
+                        b"apos" => '\'',
+                        _ => return Err("an entity that only a document type could declare".into()),
+                    },
+                };
+                add(&mut open, character.encode_utf8(&mut [0; 4]))?;
+                false
+            }
+            Event::Decl(declared) => {
+                let named = declared.encoding().transpose().map_err(|e| e.to_string())?;
+                let named = named.map(|name| String::from_utf8_lossy(&name).to_ascii_lowercase());
+                if named.as_deref().is_some_and(|name| name != charset.name()) {
+                    return Err(format!(
+                        "declared as {}, not as {}",
+                        named.unwrap_or_default(),
+                        charset.name()
+                    ));
+                }
+                false
+            }
+            Event::DocType(_) => return Err("a document type declaration".into()),
+            Event::PI(_) => return Err("a processing instruction".into()),
+            Event::Comment(_) => false,
+            Event::Eof => break,
+        };
+        if closed {
+            let Some(done) = open.pop() else { return Err("an end without a start".into()) };
+            match open.last_mut() {
+                Some(parent) => parent.children.push(done),
+                None => root = Some(done),
+            }
+        }
+    }
+    match (root, open.is_empty()) {
+        (Some(root), true) => Ok(root),
+        _ => Err("cut off".into()),
+    }
+}
+
+fn add(open: &mut [Element], text: &str) -> Result<(), String> {
+    if let Some(bad) = text.chars().find(|&c| !is_xml(c)) {
+        return Err(format!("the character {bad:?}, which XML does not have"));
+    }
+    match open.last_mut() {
+        Some(element) => element.text.push_str(text),
+        None if text.trim().is_empty() => {}
+        None => return Err("text outside the root element".into()),
+    }
+    Ok(())
+}
+
+fn element(reader: &NsReader<&[u8]>, start: &BytesStart<'_>) -> Result<Element, String> {
+    let utf8 = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    let space = |resolved: ResolveResult<'_>| match resolved {
+        ResolveResult::Bound(namespace) => Ok(utf8(namespace.as_ref())),
+        ResolveResult::Unbound => Ok(String::new()),
+        ResolveResult::Unknown(prefix) => Err(format!("the prefix {:?} is not declared", utf8(&prefix))),
+    };
+    let (namespace, local) = reader.resolver().resolve_element(start.name());
+    let (namespace, name) = (space(namespace)?, utf8(local.as_ref()));
+    let mut element = Element {
+        namespace,
+        name,
+        nil: false,
+        must_understand: false,
+        children: Vec::new(),
+        text: String::new(),
+    };
+    for attribute in start.attributes() {
+        let attribute = attribute.map_err(|e| format!("{:?}: {e}", element.name))?;
+        if attribute.key.as_namespace_binding().is_some() {
+            continue;
+        }
+        let (namespace, local) = reader.resolver().resolve_attribute(attribute.key);
+        let (namespace, local) = (space(namespace)?, utf8(local.as_ref()));
+        let is_true = matches!(&*attribute.value, b"1" | b"true");
+        match (namespace.as_str(), local.as_str()) {
+            (INSTANCE, "nil") => element.nil = is_true,
+            (ENVELOPE, "mustUnderstand") => element.must_understand = is_true,
+            (INSTANCE, "type" | "schemaLocation") | (ENVELOPE, "encodingStyle" | "actor") => {}
+            // What nobody reads would be lost without a word.
+            _ => {
+                return Err(format!(
+                    "{:?} has an attribute {local:?}, which nothing stands for",
+                    element.name
+                ))
+            }
+        }
+    }
+    Ok(element)
+}
+
+fn fields(element: Element) -> Result<Node, String> {
+    if element.children.is_empty() {
+        return Ok(if element.nil { Node::Null } else { Node::Text(element.text) });
+    }
+    if !element.text.trim().is_empty() {
+        return Err(format!("{:?} has text between its elements", element.name));
+    }
+    let mut members: Vec<(String, Node)> = Vec::new();
+    let mut lists: Vec<bool> = Vec::new();
+    for child in element.children {
+        let name = child.name.clone();
+        let value = fields(child)?;
+        match members.iter().position(|(known, _)| *known == name) {
+            None => {
+                members.push((name, value));
+                lists.push(false);
+            }
+            Some(at) => match &mut members[at].1 {
+                Node::List(items) if lists[at] => items.push(value),
+                first => {
+                    *first = Node::List(vec![std::mem::replace(first, Node::Null), value]);
+                    lists[at] = true;
+                }
+            },
+        }
+    }
+    Ok(Node::Record(members))
+}
+
+/// XML 1.0, production 2.
+fn is_xml(c: char) -> bool {
+    matches!(c, '\t' | '\n' | '\r' | '\u{20}'..='\u{d7ff}' | '\u{e000}'..='\u{fffd}' | '\u{10000}'..)
+}
+
+fn escape(text: &str, out: &mut String) -> Result<(), String> {
+    for c in text.chars() {
+        match c {
+            '&' => out.push_str("&amp;"),
+            '<' => out.push_str("&lt;"),
+            '>' => out.push_str("&gt;"),
+            // A bare one would be read back as a line feed.
+            '\r' => out.push_str("&#13;"),
+            c if is_xml(c) => out.push(c),
+            c => return Err(format!("XML does not have the character {c:?}")),
+        }
+    }
+    Ok(())
+}
+
+/// Writes a call, or the answer to one. The error names what can't be written.
+pub fn encode(namespace: &str, name: &str, message: &Node, charset: Charset) -> Result<Vec<u8>, String> {
+    let mut out = format!("<?xml version=\"1.0\" encoding=\"{}\"?>", charset.name());
+    let _ = write!(out, "<soap:Envelope xmlns:soap=\"{ENVELOPE}\"><soap:Body><m:{name} xmlns:m=\"");
+    escape(namespace, &mut out)?;
+    out.push_str("\">");
+    write_fields(message, &mut out)?;
+    let _ = write!(out, "</m:{name}></soap:Body></soap:Envelope>");
+    charset.encode(&out).map_err(|c| format!("{} has no character {c:?}", charset.name()))
+}
+
+fn write_fields(node: &Node, out: &mut String) -> Result<(), String> {
+    match node {
+        Node::Record(members) => members.iter().try_for_each(|(name, value)| match value {
+            Node::List(items) => items.iter().try_for_each(|item| write_field(name, item, out)),
+            Node::Null => Ok(()),
+            value => write_field(name, value, out),
+        }),
+        Node::Text(text) | Node::Number(text) => escape(text, out),
+        Node::Flag(flag) => escape(if *flag { "true" } else { "false" }, out),
+        Node::Null => Ok(()),
+        Node::List(_) => Err("a list within a list".into()),
+    }
+}
+
+fn write_field(name: &str, value: &Node, out: &mut String) -> Result<(), String> {
+    let _ = write!(out, "<{name}>");
+    write_fields(value, out).map_err(|why| format!("{name:?}: {why}"))?;
+    let _ = write!(out, "</{name}>");
+    Ok(())
+}
+
+/// A Fault, with one element of detail if there is any; in UTF-8.
+pub(crate) fn fault(code: &str, text: &str, detail: Option<(&str, String)>) -> String {
+    let mut words = String::new();
+    let legible: String = text.chars().map(|c| if is_xml(c) { c } else { '?' }).collect();
+    let _ = escape(&legible, &mut words);
+    let detail = detail.map(|(name, value)| format!("<detail><{name}>{value}</{name}></detail>"));
+    format!(
+        "<?xml version=\"1.0\" encoding=\"utf-8\"?><soap:Envelope xmlns:soap=\"{ENVELOPE}\"><soap:Body><soap:Fault>\
+         <faultcode>soap:{code}</faultcode><faultstring>{words}</faultstring>{}</soap:Fault></soap:Body></soap:Envelope>",
+        detail.unwrap_or_default()
+    )
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Result<Body, String> {
+        decode(text.as_bytes(), Charset::Utf8, Limits::default())
+    }
+
+    fn around(inner: &str) -> String {
+        format!("<s:Envelope xmlns:s='{ENVELOPE}'><s:Body>{inner}</s:Body></s:Envelope>")
+    }
+
+    #[test]
+    fn a_call_is_read_and_written() {
+        let text = around(
+            "<m:Get xmlns:m='urn:x'><A>1 &lt; &#233;<![CDATA[<&]]></A><B/><L><X>1</X></L><L><X>2</X></L>\
+             <N xmlns:xsi='http://www.w3.org/2001/XMLSchema-instance' xsi:nil='1'/><!-- c --></m:Get>",
+        );
+        let Body::Call { namespace, name, fields } = read(&text).unwrap() else { panic!() };
+        assert_eq!((namespace.as_str(), name.as_str()), ("urn:x", "Get"));
+        assert_eq!(fields.at("A"), Some(&Node::Text("1 < é<&".into())));
+        assert_eq!(fields.at("N"), Some(&Node::Null));
+        assert!(matches!(fields.at("L"), Some(Node::List(items)) if items.len() == 2));
+        let written = encode(&namespace, &name, &fields, Charset::Windows1252).unwrap();
+        let Body::Call { fields: again, .. } =
+            decode(&written, Charset::Windows1252, Limits::default()).unwrap()
+        else {
+            panic!()
+        };
+        assert_eq!(again.at("A"), fields.at("A"));
+        assert_eq!(again.at("N"), None);
+    }
+
+    #[test]
+    fn what_could_grow_or_hide_is_refused() {
+        let bomb = format!("<!DOCTYPE x [<!ENTITY a 'b'>]>{}", around("<g><A>&a;</A></g>"));
+        for text in [
+            bomb,
+            around("<g><A>&a;</A></g>"),
+            around("<g><?php x ?></g>"),
+            around("<g hidden='1'><A>1</A></g>"),
+            around("<g>text<A>1</A></g>"),
+            around("<g>&#1;</g>"),
+            around("<g/><h/>"),
+            around(""),
+            around("<m:g/>"),
+            around("<g><A>1</A>"),
+            "<Envelope/>".into(),
+            around("<g/>").replace("<s:Body>", "<s:Header><t s:mustUnderstand='1'/></s:Header><s:Body>"),
+            around(&format!("<g>{}{}</g>", "<a>".repeat(20), "</a>".repeat(20))),
+            format!("{}{}", around("<g/>"), around("<g/>")),
+        ] {
+            assert!(read(&text).is_err(), "{text}");
+        }
+    }
+
+    #[test]
+    fn a_fault_is_told_from_an_answer() {
+        let told = fault("Server.Busy", "full \u{1} <now>", Some(("retryAfterSeconds", "2".into())));
+        let Body::Fault { code, text } = read(&told).unwrap() else { panic!() };
+        assert_eq!((code.as_str(), text.as_str()), ("Server.Busy", "full ? <now>"));
+    }
+}
--- /dev/null
+++ b/crates/translate/src/wire/table.rs
@@ -0,0 +1,184 @@
+//! Delimited text: rows of columns quoted as in RFC 4180, the first of each a tag.
+//!
+//! ```text
+//! H|value|value              the message's own fields, in the order of the mapping
+//! LINE|value|value           an item of the group LINE, in the order of its fields
+//! X|name|value               what is carried for the other side
+//! T|3                        the number of rows before this one: an answer that was cut off shows
+//! ```
+//!
+//! An empty column is a field that is not there; the mapping's check sees to it that no field needs the difference.
+
+use crate::charset::Charset;
+use crate::node::{Count, Limits, Node};
+
+/// What a message holds, in its order.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Shape {
+    /// Paths of its own fields.
+    pub fields: Vec<String>,
+    /// Names of its groups and of their fields.
+    pub groups: Vec<(String, Vec<String>)>,
+    /// Where carried fields stand, if anywhere.
+    pub extension: Option<String>,
+}
+
+/// Reads rows parted by `delimiter`, an ASCII character.
+pub fn decode(
+    bytes: &[u8],
+    charset: Charset,
+    delimiter: u8,
+    shape: &Shape,
+    limits: Limits,
+) -> Result<Node, String> {
+    let mut count = Count::new(limits, bytes.len())?;
+    let text = charset.decode(bytes)?;
+    let mut reader = csv::ReaderBuilder::new()
+        .delimiter(delimiter)
+        .has_headers(false)
+        .flexible(true)
+        .from_reader(text.as_bytes());
+    let (mut message, mut rows, mut whole) = (Node::record(), 0_usize, false);
+    let mut groups: Vec<Vec<Node>> = vec![Vec::new(); shape.groups.len()];
+    for row in reader.records() {
+        let row = row.map_err(|e| format!("row {}: {e}", rows + 1))?;
+        if whole {
+            return Err("rows after the last".into());
+        }
+        let tag = row.get(0).unwrap_or_default();
+        let columns = |fields: &[String], count: &mut Count| {
+            if row.len() != fields.len() + 1 {
+                let (has, wants) = (row.len() - 1, fields.len());
+                return Err(format!("row {}: {has} columns after its tag, not {wants}", rows + 1));
+            }
+            let mut record = Node::record();
+            for (path, column) in
+                fields.iter().zip(row.iter().skip(1)).filter(|(_, column)| !column.is_empty())
+            {
+                count.value(1)?;
+                record.put(path, Node::Text(column.to_owned()));
+            }
+            Ok(record)
+        };
+        match tag {
+            "H" if rows == 0 => message = columns(&shape.fields, &mut count)?,
+            _ if rows == 0 => return Err("the first row is no H".into()),
+            "T" => {
+                whole = row.len() == 2 && row.get(1) == Some(rows.to_string().as_str());
+                if !whole {
+                    return Err(format!("the last row does not say that {rows} came before it"));
+                }
+            }
+            "X" => match (&shape.extension, row.get(1), row.get(2)) {
+                (Some(extension), Some(name), Some(value)) if row.len() == 3 => {
+                    count.value(2)?;
+                    let path = format!("{extension}.{name}");
+                    if message.at(&path).is_some() {
+                        return Err(format!("row {}: {name:?} is carried twice", rows + 1));
+                    }
+                    message.put(&path, Node::Text(value.to_owned()));
+                }
+                _ => return Err(format!("row {}: nothing is carried like this", rows + 1)),
+            },
+            _ => match shape.groups.iter().position(|(name, _)| name == tag) {
+                Some(at) => {
+                    count.value(1)?;
+                    let item = columns(&shape.groups[at].1, &mut count)?;
+                    groups[at].push(item);
+                }
+                None => return Err(format!("row {}: no rows are called {tag:?}", rows + 1)),
+            },
+        }
+        rows += 1;
+    }
+    if !whole {
+        return Err("cut off: the last row is missing".into());
+    }
+    for ((name, _), items) in shape.groups.iter().zip(groups).filter(|(_, items)| !items.is_empty()) {
+        message.put(name, Node::List(items));
+    }
+    Ok(message)
+}
+
+/// Writes a message. The error names what can't be written.
+pub fn encode(message: &Node, charset: Charset, delimiter: u8, shape: &Shape) -> Result<Vec<u8>, String> {
+    let mut writer = csv::WriterBuilder::new()
+        .delimiter(delimiter)
+        .flexible(true)
+        .terminator(csv::Terminator::CRLF)
+        .from_writer(Vec::new());
+    let mut rows = 0_usize;
+    let mut put = |row: &[&str]| {
+        rows += 1;
+        writer.write_record(row).map_err(|e| e.to_string())
+    };
+    let columns = |tag: &'_ str, record: &'_ Node, fields: &'_ [String]| -> Vec<String> {
+        std::iter::once(tag.to_owned()).chain(fields.iter().map(|path| text(record.at(path)))).collect()
+    };
+    let mut all = vec![columns("H", message, &shape.fields)];
+    for (name, fields) in &shape.groups {
+        if let Some(Node::List(items)) = message.at(name) {
+            all.extend(items.iter().map(|item| columns(name, item, fields)));
+        }
+    }
+    if let Some(Node::Record(carried)) = shape.extension.as_ref().and_then(|path| message.at(path)) {
+        all.extend(carried.iter().map(|(name, value)| vec!["X".into(), name.clone(), text(Some(value))]));
+    }
+    all.push(vec!["T".into(), all.len().to_string()]);
+    for row in &all {
+        put(&row.iter().map(String::as_str).collect::<Vec<_>>())?;
+    }
+    let bytes = writer.into_inner().map_err(|e| e.to_string())?;
+    let text = String::from_utf8(bytes).map_err(|e| e.to_string())?;
+    charset.encode(&text).map_err(|c| format!("{} has no character {c:?}", charset.name()))
+}
+
+fn text(node: Option<&Node>) -> String {
+    match node {
+        Some(Node::Text(text) | Node::Number(text)) => text.clone(),
+        Some(Node::Flag(flag)) => flag.to_string(),
+        _ => String::new(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn shape() -> Shape {
+        Shape {
+            fields: vec!["ID".into(), "S.NAME".into()],
+            groups: vec![("LINE".into(), vec!["AT".into(), "MM".into()])],
+            extension: Some("EXT".into()),
+        }
+    }
+
+    fn read(text: &str) -> Result<Node, String> {
+        decode(text.as_bytes(), Charset::Utf8, b'|', &shape(), Limits::default())
+    }
+
+    #[test]
+    fn rows_are_quoted_and_counted() {
+        let text = "H|7|\"a \"\"b\"\" | c\r\nd\"\r\nLINE|1|2.5\r\nLINE|2|\r\nX|seen|yes\r\nT|4\r\n";
+        let message = read(text).unwrap();
+        assert_eq!(message.at("S.NAME"), Some(&Node::Text("a \"b\" | c\r\nd".into())));
+        assert_eq!(message.at("EXT.seen"), Some(&Node::Text("yes".into())));
+        assert_eq!(encode(&message, Charset::Utf8, b'|', &shape()).unwrap(), text.as_bytes());
+    }
+
+    #[test]
+    fn what_is_cut_off_or_strange_is_refused() {
+        for text in [
+            "",
+            "H|7|a\r\n",
+            "H|7|a\r\nLINE|1|2\r\nT|1\r\n",
+            "H|7|a\r\nLINE|1\r\nT|2\r\n",
+            "H|7|a\r\nROW|1|2\r\nT|2\r\n",
+            "T|0\r\n",
+            "H|7|a\r\nT|1\r\nLINE|1|2\r\n",
+            "H|7|a\r\nX|n|1\r\nX|n|2\r\nT|3\r\n",
+        ] {
+            assert!(read(text).is_err(), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/translate/src/wire/trouble.rs
@@ -0,0 +1,118 @@
+//! Refusals and failures in the client's own form, with the same meaning in each.
+
+use super::{json::quoted, soap};
+use crate::mapping::Form;
+use std::time::Duration;
+
+/// Why a request gets no answer of a server's.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Trouble {
+    /// The client sent what can't be read or translated; the same again will not be either.
+    Wrong(String),
+    /// More than is taken.
+    TooLarge(String),
+    /// It did not run and may be sent again, after this long where that is known.
+    Refused(Option<Duration>),
+    /// It may have run.
+    Failed(String),
+}
+
+/// An answer over HTTP.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    /// The status code.
+    pub status: u16,
+    /// The `Content-Type`.
+    pub content_type: &'static str,
+    /// The seconds of `Retry-After`, rounded up.
+    pub retry_after: Option<u64>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Trouble {
+    fn parts(&self) -> (u16, &'static str, String) {
+        match self {
+            Trouble::Wrong(why) => (400, "Request not understood", why.clone()),
+            Trouble::TooLarge(why) => (413, "Request too large", why.clone()),
+            Trouble::Refused(_) => (503, "Refused", "It did not run; trying again is harmless.".into()),
+            Trouble::Failed(why) => (502, "Failed", format!("It may have run. {why}").trim_end().to_owned()),
+        }
+    }
+
+    /// In the form of the client.
+    ///
+    /// SOAP 1.1 (6.2) asks for status 500 with the Fault of a request that was processed; one that was refused or too
+    /// large was not, and keeps its own status so that the client may tell.
+    pub fn tell(&self, form: Form) -> Told {
+        let (status, title, detail) = self.parts();
+        let retry_after = match self {
+            Trouble::Refused(Some(after)) => Some(after.as_secs() + u64::from(after.subsec_nanos() > 0)),
+            _ => None,
+        };
+        let (status, content_type, body) = match form {
+            Form::Json => {
+                let kind = title.to_ascii_lowercase().replace(' ', "-");
+                let more = retry_after.map(|s| format!(",\"retry_after_s\":{s}")).unwrap_or_default();
+                let body = format!(
+                    "{{\"type\":\"about:blank#{kind}\",\"title\":{},\"status\":{status},\"detail\":{}{more}}}",
+                    quoted(title),
+                    quoted(&detail)
+                );
+                (status, "application/problem+json", body)
+            }
+            Form::Soap => {
+                let code = match self {
+                    Trouble::Wrong(_) | Trouble::TooLarge(_) => "Client",
+                    Trouble::Refused(_) => "Server.Busy",
+                    Trouble::Failed(_) => "Server",
+                };
+                let status = match self {
+                    Trouble::Wrong(_) | Trouble::Failed(_) => 500,
+                    Trouble::TooLarge(_) | Trouble::Refused(_) => status,
+                };
+                let after = retry_after.map(|s| ("retryAfterSeconds", s.to_string()));
+                (status, "text/xml; charset=utf-8", soap::fault(code, &format!("{title}: {detail}"), after))
+            }
+            Form::Form | Form::Table => {
+                let more = retry_after.map(|s| format!("RETRY-AFTER {s}\r\n")).unwrap_or_default();
+                let word = title.to_ascii_uppercase();
+                (status, "text/plain; charset=us-ascii", format!("{word}\r\n{}\r\n{more}", ascii(&detail)))
+            }
+        };
+        Told { status, content_type, retry_after, body: body.into_bytes() }
+    }
+}
+
+/// Old clients read ASCII in any charset.
+fn ascii(text: &str) -> String {
+    text.chars().map(|c| if c.is_ascii() && !c.is_control() { c } else { '?' }).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_refusal_is_one_in_each_form_and_says_when() {
+        let refused = Trouble::Refused(Some(Duration::from_millis(1200)));
+        for form in [Form::Json, Form::Soap, Form::Form, Form::Table] {
+            let told = refused.tell(form);
+            assert_eq!((told.status, told.retry_after), (503, Some(2)), "{form:?}");
+            assert!(String::from_utf8(told.body).unwrap().contains('2'), "{form:?}");
+        }
+    }
+
+    #[test]
+    fn a_failure_never_looks_like_a_refusal() {
+        for form in [Form::Json, Form::Soap, Form::Form, Form::Table] {
+            for trouble in [Trouble::Failed("x \"<&".into()), Trouble::Wrong("é".into())] {
+                let told = trouble.tell(form);
+                assert!(!matches!(told.status, 200..=299 | 429 | 503), "{form:?}");
+            }
+        }
+        let problem = Trouble::Failed("a \"b\"".into()).tell(Form::Json).body;
+        let problem: serde_json::Value = serde_json::from_slice(&problem).unwrap();
+        assert_eq!(problem["detail"], "It may have run. a \"b\"");
+    }
+}
--- /dev/null
+++ b/crates/translate/tests/faults.rs
@@ -0,0 +1,104 @@
+//! Files with faults, each with its line, and the worked files, which have none.
+use heronhoist_translate::mapping::{self, Fault};
+
+const WORKED: [(&str, &str); 3] = [
+    ("lookup", include_str!("../../../deploy/translate/lookup.toml")),
+    ("correction", include_str!("../../../deploy/translate/correction.toml")),
+    ("certified-copy", include_str!("../../../deploy/translate/certified-copy.toml")),
+];
+
+fn faults(text: &str) -> Vec<Fault> {
+    mapping::read(text).err().unwrap_or_default()
+}
+
+#[test]
+fn the_worked_files_are_sound_and_say_what_they_lose() {
+    for (name, text) in WORKED {
+        let mapping = mapping::read(text).unwrap_or_else(|faults| panic!("{name}: {faults:?}"));
+        assert_eq!((mapping.name.as_str(), mapping.class.as_str()), (name, name));
+        let told = heronhoist_translate::explain::explain(&mapping);
+        assert!(mapping.notes.iter().all(|note| told.contains(&format!("`{}`", note.field))), "{told}");
+    }
+}
+
+/// Each worked file without one of its rules or policies: the very field or word is named.
+#[test]
+fn whatever_is_left_out_is_missed() {
+    let (mut tried, mut at_line) = (0, 0);
+    for (name, text) in WORKED {
+        let lines: Vec<&str> = text.lines().collect();
+        for (n, line) in lines.iter().enumerate() {
+            let key = line.split(['=', ' ']).next().unwrap_or_default();
+            let needed =
+                ["policy", "finer", "unmappable", "round", "range", "pairs", "unpaired", "long", "fold"];
+            if !needed.contains(&key) {
+                continue;
+            }
+            let without: Vec<&str> =
+                lines.iter().enumerate().filter(|(m, _)| *m != n).map(|(_, l)| *l).collect();
+            let found = faults(&without.join("\n"));
+            tried += 1;
+            assert!(!found.is_empty(), "{name} without line {} ({line})", n + 1);
+            assert!(found.iter().all(|fault| fault.line > 0 && !fault.key.is_empty()), "{found:?}");
+            at_line += usize::from(found.iter().any(|fault| fault.line.abs_diff(n + 1) <= 12));
+        }
+    }
+    assert!(tried > 70, "{tried}");
+    assert_eq!(at_line, tried, "each fault is told near its place");
+}
+
+#[test]
+fn a_field_without_a_rule_is_named() {
+    let (_, text) = WORKED[1];
+    let without = text.replace("[[request]]\nold = \"URGENT\"\nnew = \"urgent\"\n", "");
+    let found: Vec<String> = faults(&without).iter().map(|fault| fault.key.clone()).collect();
+    assert_eq!(found, ["request.old.URGENT", "request.new.urgent"]);
+}
+
+#[test]
+fn faults_are_told_with_line_and_key() {
+    let (_, text) = WORKED[0];
+    let wrong = |from: &str, to: &str, key: &str, what: &str| {
+        assert!(text.contains(from), "{from}");
+        let found = faults(&text.replacen(from, to, 1));
+        assert!(
+            found.iter().any(|fault| fault.key.contains(key) && fault.what.contains(what)),
+            "{from} -> {to}: {found:?}"
+        );
+    };
+    wrong("zone = \"America/New_York\"", "zone = \"Mars/Olympus\"", "zone", "no zone");
+    wrong("unit = \"kn\"", "unit = \"knots\"", "WIND", "a unit, one of");
+    wrong("unit = \"m/s\"", "unit = \"m\"", "WIND", "is no");
+    wrong("name = \"STN\"", "name = \"S TN\"", "S TN", "a name has");
+    wrong("old = \"STN\"", "old = \"STM\"", "STM", "no such field");
+    wrong("name = \"END\"", "name = \"BEG\"", "BEG", "taken");
+    wrong("format = \"%m/%d/%Y %H:%M\"", "format = \"%m/%d %H:%M\"", "BEG", "format");
+    wrong(
+        "values = [\"A\", \"W\", \"R\"]",
+        "values = [\"A\", \"W\", \"R\", \"X\"]",
+        "WHAT",
+        "X: no counterpart",
+    );
+    wrong("type = \"choice\"", "type = \"chioce\"", "", "chioce");
+    wrong("length = [1, 8]", "length = [1, 8]\nlenght = 3", "", "lenght");
+    wrong("extension = \"x_old\"", "", "CLERK", "no extension");
+    wrong("range = [\"0\", \"300\"]", "range = [\"0\", \"300\"]\nwidth = 2", "WIND", "width says nothing");
+    wrong("length = [1, 40]", "length = [0, 40]", "NAME", "empty text");
+    wrong("new = \"observations\"", "new = \"station.name\"", "station.name", "already");
+    wrong("[new]", "[new]\ncharset = \"iso-8859-1\"", "charset", "JSON is UTF-8");
+}
+
+#[test]
+fn no_text_makes_the_reader_panic() {
+    for (_, text) in WORKED {
+        for end in (0..text.len()).step_by(7).filter(|&end| text.is_char_boundary(end)) {
+            let _ = mapping::read(&text[..end]);
+        }
+        let words: Vec<&str> = text.split_inclusive(' ').collect();
+        for n in 0..words.len() {
+            let mut mixed = words.clone();
+            mixed.swap(n, (n * 7 + 3) % words.len());
+            let _ = mapping::read(&mixed.concat());
+        }
+    }
+}
