--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -6,11 +6,13 @@
 use crate::log;
 use crate::plan::{Members, Plan, PoolPlan};
 use crate::server;
-use heronhoist_config::{Fault, ServerState};
+use crate::{legacy, translate};
+use heronhoist_config::{Fault, Protocol, ServerState};
 use heronhoist_decision::{ReportSource, Span};
 use heronhoist_engine::{List, Member, ServerNames, State};
 use heronhoist_routes::Table;
 use heronhoist_settings::SettingsFile;
+use heronhoist_translate::Mappings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::collections::hash_map::DefaultHasher;
@@ -106,6 +108,8 @@
     pub name: Rc<str>,
     /// Its address.
     pub listen: SocketAddr,
+    /// What its clients speak.
+    pub protocol: Protocol,
 }
 
 /// The form of the file, and what a later one is compared with.
@@ -182,7 +186,8 @@
         members: Members::Discovery(discovery),
     };
     let routes = Table::new(Vec::new(), Some(0)).unwrap_or_default();
-    Plan { classes: file.class_names(), tenants: file.tenant_names(), pools: vec![pool], routes }
+    let (classes, tenants) = (file.class_names(), file.tenant_names());
+    Plan { classes, tenants, pools: vec![pool], routes, mappings: Rc::default() }
 }
 
 /// Keys that a file may do without though the one before it had them: the list and the seed serve a start only, and the
@@ -256,12 +261,43 @@
     }
 }
 
-fn own_plan(file: &heronhoist_config::File) -> Plan {
-    Plan {
+/// `path` is the file's own; directories that it names are beside it.
+fn own_plan(path: &Path, file: &heronhoist_config::File) -> Result<Plan, Unusable> {
+    let mappings = match &file.mappings {
+        Some(directory) => mappings(&path.parent().unwrap_or(Path::new("")).join(directory), file)?,
+        None => Mappings::default(),
+    };
+    Ok(Plan {
         classes: file.classes.clone(),
         tenants: file.tenants.clone(),
         pools: file.pools.iter().map(own_pool).collect(),
         routes: file.routes.clone(),
+        mappings: Rc::new(mappings),
+    })
+}
+
+/// The mapping files of a directory, which have to fit the classes.
+fn mappings(directory: &Path, file: &heronhoist_config::File) -> Result<Mappings, Unusable> {
+    let read = translate::read_all(directory).map_err(|fault| match fault {
+        translate::Fault::Unread(why) => Unusable::Unread(why),
+        translate::Fault::Faulty(lines) => {
+            let (first, more) = (lines.lines().next().unwrap_or_default(), lines.lines().count());
+            match more {
+                0 | 1 => Unusable::Faulty(first.into()),
+                n => Unusable::Faulty(format!(
+                    "{first} ({} more; `heronhoist translate check` names all)",
+                    n - 1
+                )),
+            }
+        }
+    })?;
+    let at = |why: String| Unusable::Faulty(format!("{}: {why}", directory.display()));
+    let mappings = Mappings::new(read.into_iter().map(|(_, mapping)| mapping).collect()).map_err(at)?;
+    let terms = file.pools.first().map_or(&[][..], |pool| &pool.settings.classes);
+    let classes = file.classes.iter().map(String::as_str).zip(terms.iter().map(|class| class.effect));
+    match legacy::fault(&mappings, classes) {
+        Some(why) => Err(at(why)),
+        None => Ok(mappings),
     }
 }
 
@@ -309,6 +345,7 @@
         let front = |front: &heronhoist_config::Front| Front {
             name: front.name.as_str().into(),
             listen: front.listen,
+            protocol: front.protocol,
         };
         Ok(Config {
             fronts: file.fronts.iter().map(front).collect(),
@@ -316,7 +353,7 @@
             seed: std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), std::process::id()),
             limits: Limits { sockets: Some(file.sockets), memory_mb: Some(file.memory_mb) },
             known: None,
-            plan: own_plan(&file),
+            plan: own_plan(path, &file)?,
             log: (format, file.log_level.clone()),
             path: path.into(),
             origin: Origin::Own(Box::new(file)),
@@ -385,7 +422,8 @@
                         self.path.display()
                     ));
                 }
-                Ok(Revised { plan: own_plan(&file), origin: Origin::Own(Box::new(file)) })
+                let plan = own_plan(&self.path, &file).map_err(|e| e.to_string())?;
+                Ok(Revised { plan, origin: Origin::Own(Box::new(file)) })
             }
         }
     }
@@ -427,6 +465,7 @@
         }
         Ok(Config {
             fronts: vec![Front {
+                protocol: Protocol::Http,
                 name: FRONT.into(),
                 listen: address("listen", places.listen.or(file.listen))?,
             }],
--- a/crates/agent/src/intake.rs
+++ b/crates/agent/src/intake.rs
@@ -103,6 +103,11 @@
 }
 
 impl Catalogue {
+    /// The class of this name.
+    pub fn class(&self, name: &str) -> Option<Rc<Class>> {
+        self.classes.iter().find(|class| class.name == name).map(Rc::clone)
+    }
+
     /// How long a request may take at most.
     pub fn longest_deadline(&self) -> Duration {
         self.classes.iter().map(|class| class.deadline()).max().unwrap_or_default()
@@ -236,7 +241,7 @@
 }
 
 /// Reads on for a while what nobody wants.
-fn discard(mut body: Incoming) {
+pub fn discard(mut body: Incoming) {
     if body.is_end_stream() {
         return;
     }
--- /dev/null
+++ b/crates/agent/src/legacy.rs
@@ -0,0 +1,282 @@
+//! Clients of the old dialects: their requests as the servers' own, and the answers in their form.
+
+use crate::backend::{joined, Call, Content, Served};
+use crate::intake::{check_end, discard, fault_of, Catalogue, Class};
+use crate::seats::Seat;
+use crate::upload::{Payload, Source, HELD_MOST};
+use bytes::Bytes;
+use heronhoist_decision::Effect;
+use heronhoist_engine::{Exchange, Part as Quota, Portion};
+use heronhoist_translate::mapping::Form;
+use heronhoist_translate::wire::trouble::{Told, Trouble};
+use heronhoist_translate::{Limits, Mapping, Mappings, Notice, Part, Side};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Uri};
+use std::rc::Rc;
+
+/// What a client is told of losses, at most, in bytes.
+const NOTICE_MOST: usize = 1024;
+/// Tells a client what was lost on the way of its request or of the answer.
+pub const NOTICE: HeaderName = HeaderName::from_static("x-translation-notice");
+
+/// What the head of an old request shows.
+pub struct Asked {
+    /// How it is translated.
+    pub mapping: Rc<Mapping>,
+    /// The class that its mapping names.
+    pub class: Rc<Class>,
+    /// Its head.
+    pub head: Parts,
+    body: Incoming,
+}
+
+impl Asked {
+    /// Turns it away; what its client is still writing is read for a while.
+    pub fn discard(self) {
+        discard(self.body);
+    }
+}
+
+/// A request in the servers' dialect.
+pub struct Translated {
+    /// The request.
+    pub exchange: Exchange<Call>,
+    /// Its class, which a missing key may have changed.
+    pub class: Rc<Class>,
+    /// What was lost.
+    pub notices: Vec<Notice>,
+}
+
+/// Why an old request goes no further, in its client's form.
+pub fn in_form(mapping: &Mapping, trouble: &Trouble) -> Told {
+    trouble.tell(mapping.old.answers)
+}
+
+fn wrong(why: impl Into<String>) -> Trouble {
+    Trouble::Wrong(why.into())
+}
+
+/// Looks at the head of a request.
+pub fn ask(
+    mappings: &Mappings,
+    catalogue: &Catalogue,
+    seat: &Seat,
+    request: Request<Incoming>,
+) -> Result<Asked, Told> {
+    let (head, body) = request.into_parts();
+    let framing = seat.view().next_head();
+    let found = mappings.find(head.method.as_str(), head.uri.path()).map(Rc::clone);
+    let asked = match (found, framing) {
+        (None, _) => Err(Told { status: 404, ..wrong("No such request is known.").tell(Form::Form) }),
+        (Some(mapping), Some(framing)) if framing.is_clear() => match check(&mapping, &head) {
+            Ok(()) => Ok(mapping),
+            Err(why) => Err(in_form(&mapping, &why)),
+        },
+        (Some(mapping), _) => Err(in_form(&mapping, &wrong("its length is not clear"))),
+    };
+    let class = |mapping: &Mapping| catalogue.class(&mapping.class);
+    match asked.map(|mapping| (class(&mapping), mapping)) {
+        Ok((Some(class), mapping)) => Ok(Asked { mapping, class, head, body }),
+        other => {
+            discard(body);
+            Err(match other {
+                Err(told) => told,
+                Ok((_, mapping)) => in_form(&mapping, &Trouble::Failed("Its class is not served.".into())),
+            })
+        }
+    }
+}
+
+/// The media type and the character set must be those of the mapping; an old client may leave both out.
+fn check(mapping: &Mapping, head: &Parts) -> Result<(), Trouble> {
+    let old = &mapping.old;
+    let header = |name: &str| head.headers.get(name).map(|value| value.to_str().unwrap_or("?"));
+    if let Some(said) = header("content-type").filter(|_| head.method != Method::GET) {
+        let mut parts = said.split(';').map(str::trim);
+        let wanted = old.form.content_type(old.charset);
+        let wanted = wanted.split(';').next().unwrap_or_default();
+        if !parts.next().is_some_and(|kind| kind.eq_ignore_ascii_case(wanted)) {
+            return Err(wrong(format!("its Content-Type is not {wanted}")));
+        }
+        let charset =
+            parts.find_map(|part| part.to_ascii_lowercase().strip_prefix("charset=").map(str::to_owned));
+        if charset.is_some_and(|charset| charset.trim_matches('"') != old.charset.name()) {
+            return Err(wrong(format!("its charset is not {}", old.charset.name())));
+        }
+    }
+    // SOAP 1.1, 6.1.1: a client must say its intent; empty quotes leave it to the path.
+    if old.form == Form::Soap {
+        let action = header("soapaction").ok_or_else(|| wrong("SOAPAction is missing"))?;
+        let action = action.trim().trim_matches('"');
+        let names_it = action.rsplit(['/', '#', ':']).next() == Some(&old.operation);
+        if !action.is_empty() && !names_it {
+            return Err(wrong(format!("SOAPAction does not name {}", old.operation)));
+        }
+    }
+    Ok(())
+}
+
+/// Reads the rest of a request and translates it, with memory for `bodies`.
+pub async fn translate(
+    catalogue: &Catalogue,
+    seat: &Seat,
+    bodies: &Rc<Quota>,
+    asked: Asked,
+) -> Result<Translated, Trouble> {
+    let Asked { mapping, class, head, body } = asked;
+    let too_large = || Trouble::TooLarge(format!("{HELD_MOST} bytes at most are translated."));
+    let stated = body.size_hint().exact();
+    if stated.is_some_and(|bytes| bytes > HELD_MOST as u64) {
+        discard(body);
+        return Err(too_large());
+    }
+    let no_room = || Trouble::Refused(None);
+    let Some(portion) = bodies.take(stated.map_or(HELD_MOST, |bytes| bytes as usize)) else {
+        discard(body);
+        return Err(no_room());
+    };
+    let (mut source, mut pieces, mut held) = (Source::new(body), Vec::new(), 0);
+    while let Some(piece) = source.next().await {
+        let piece = piece.map_err(|broken| wrong(fault_of(broken).1))?;
+        held += piece.len();
+        if held > HELD_MOST {
+            tokio::task::spawn_local(source.discard());
+            return Err(too_large());
+        }
+        pieces.push(piece);
+    }
+    check_end(seat).map_err(|(_, why)| wrong(why))?;
+    let bytes = joined(pieces, held);
+    let is_query = head.method == Method::GET && mapping.old.form == Form::Form;
+    if is_query && held > 0 {
+        return Err(wrong("a query has no body"));
+    }
+    let bytes = if is_query { head.uri.query().unwrap_or_default().as_bytes() } else { &bytes };
+    let message = mapping.old.decode(Part::Request, bytes, Limits::default()).map_err(wrong)?;
+    let done = mapping.convert(Part::Request, Side::Old, &message).map_err(|why| wrong(why.to_string()))?;
+    let out = mapping.new.encode(Part::Request, &done.message).map_err(wrong)?;
+    drop(portion);
+
+    let key = mapping.key(&message);
+    let class = match mapping.class_without_key() {
+        Some(other) if key.is_none() => catalogue.class(other).unwrap_or(class),
+        _ => class,
+    };
+    if key.is_none() && matches!(class.terms.effect, Effect::Deduplicated { .. }) {
+        return Err(wrong("the fields that tell repeats apart are missing"));
+    }
+    let key = key.filter(|_| matches!(class.terms.effect, Effect::Deduplicated { .. }));
+    let portion = bodies.take(out.len()).ok_or_else(no_room)?;
+    let name = format!("{:032x}", fastrand::u128(..));
+    let exchange = exchange(&mapping, &class, &head.headers, &name, key, out);
+    let mut exchange = exchange.ok_or_else(|| wrong("its path or a header can't be written"))?;
+    exchange.call._portion = Some(portion);
+    Ok(Translated { exchange, class, notices: done.notices })
+}
+
+/// The request as the servers' protocol has it.
+fn exchange(
+    mapping: &Mapping,
+    class: &Rc<Class>,
+    old: &HeaderMap,
+    name: &str,
+    key: Option<String>,
+    out: Vec<u8>,
+) -> Option<Exchange<Call>> {
+    let new = &mapping.new;
+    let method: Method = new.method.parse().ok()?;
+    let mut headers = HeaderMap::with_capacity(5);
+    headers.insert("x-call-id", HeaderValue::from_str(name).ok()?);
+    headers.insert("x-call-class", HeaderValue::from_str(&class.name).ok()?);
+    if let Some(key) = key {
+        headers.insert("idempotency-key", HeaderValue::try_from(key).ok()?);
+    }
+    if let Some(host) = old.get(HOST) {
+        headers.insert(HOST, host.clone());
+    }
+    let is_query = method == Method::GET;
+    let (uri, body) = match is_query {
+        true => (format!("{}?{}", new.path, String::from_utf8(out).ok()?), Bytes::new()),
+        false => {
+            let kind = new.form.content_type(new.charset);
+            headers.insert(CONTENT_TYPE, HeaderValue::try_from(kind).ok()?);
+            (new.path.clone(), Bytes::from(out))
+        }
+    };
+    let budget = class.deadline();
+    let call = Call {
+        method,
+        uri: uri.parse::<Uri>().ok()?,
+        headers,
+        body: Payload::Held(body),
+        budget,
+        counters: Some(Rc::clone(&class.counters)),
+        _portion: None,
+    };
+    Some(Exchange { name: Some(name.as_bytes().into()), ..Exchange::new(call, class.id, budget) })
+}
+
+/// A server's answer in an old client's form.
+pub struct Answer {
+    /// The body.
+    pub body: Bytes,
+    /// The memory that the server's held.
+    pub portion: Portion,
+    /// What was lost.
+    pub notices: Vec<Notice>,
+}
+
+/// Turns a server's answer into the client's form. One that can't be said there may have run, and is a failure.
+pub fn answer(mapping: &Mapping, served: Served) -> Result<Answer, Trouble> {
+    let failed = |why: String| Trouble::Failed(format!("Its answer has no counterpart: {why}"));
+    let Content::Held(bytes, portion) = served.body else {
+        return Err(failed(format!("it is longer than {HELD_MOST} bytes")));
+    };
+    let message = mapping.new.decode(Part::Answer, &bytes, Limits::default()).map_err(failed)?;
+    let done = mapping.convert(Part::Answer, Side::New, &message).map_err(|why| failed(why.to_string()))?;
+    let bytes = mapping.old.encode(Part::Answer, &done.message).map_err(failed)?;
+    Ok(Answer { body: bytes.into(), portion, notices: done.notices })
+}
+
+/// What a client is told of losses, if there were any.
+pub fn notice(notices: &[Notice]) -> Option<HeaderValue> {
+    let all: Vec<String> = notices.iter().map(ToString::to_string).collect();
+    let text: String = all
+        .join("; ")
+        .chars()
+        .map(|c| if c.is_ascii_graphic() || c == ' ' { c } else { '?' })
+        .take(NOTICE_MOST)
+        .collect();
+    HeaderValue::try_from(text).ok().filter(|_| !notices.is_empty())
+}
+
+/// Classes that the mappings name and nobody serves, or serves by other rules than the servers' dialect has.
+pub fn fault<'a>(
+    mappings: &Mappings,
+    classes: impl Iterator<Item = (&'a str, Effect)> + Clone,
+) -> Option<String> {
+    let effect = |name: &str| classes.clone().find(|(class, _)| *class == name).map(|(_, effect)| effect);
+    mappings.all().iter().find_map(|mapping| {
+        let name = &mapping.name;
+        let Some(of) = effect(&mapping.class) else {
+            return Some(format!("{name}: class {} is not served", mapping.class));
+        };
+        let get = mapping.new.method == "GET";
+        if get != matches!(of, Effect::Idempotent) {
+            return Some(format!("{name}: new.method does not fit class {}", mapping.class));
+        }
+        if matches!(of, Effect::Deduplicated { .. }) != mapping.has_keys() {
+            return Some(format!(
+                "{name}: class {} is deduplicated if and only if there is a [key]",
+                mapping.class
+            ));
+        }
+        let without = mapping.class_without_key()?;
+        match effect(without) {
+            Some(Effect::AtMostOnce) => None,
+            _ => Some(format!("{name}: key.without: {without} is no class that runs at most once")),
+        }
+    })
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -12,6 +12,7 @@
 mod head;
 mod intake;
 mod lanes;
+mod legacy;
 mod log;
 mod metrics;
 mod ops;
@@ -150,7 +151,7 @@
     for (front, listener) in fronts.iter().zip(listeners) {
         let address = listener.local_addr().map_err(|e| e.to_string())?;
         tracing::info!(front = &*front.name, "listening on {address}");
-        let (server, front) = (Rc::clone(&server), Rc::clone(&front.name));
+        let (server, front) = (Rc::clone(&server), Rc::new(front.clone()));
         accepting.push(spawn_local(async move { server.accept(&front, &listener).await }));
     }
     if let Some(predecessor) = predecessor {
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -77,6 +77,8 @@
     times: HistogramVec,
     classes: RefCell<BTreeMap<String, Rc<ClassCounters>>>,
     timed: RefCell<BTreeMap<(String, String), Rc<Times>>>,
+    losses: IntCounterVec,
+    untranslated: IntCounterVec,
     taken: Gauge,
     levels: [IntGauge; 3],
     /// Configuration files taken at a signal.
@@ -106,6 +108,16 @@
             let counter = IntCounter::new(name, help)?;
             registry.register(Box::new(counter.clone())).map(|()| Counter(counter))
         };
+        let by_mapping = |name, help| {
+            let family = IntCounterVec::new(Opts::new(name, help), &["mapping"])?;
+            registry.register(Box::new(family.clone())).map(|()| family)
+        };
+        let losses = by_mapping(
+            "app_translation_losses_total",
+            "Values dropped, rounded, cut or replaced, as the mapping allows; each was told to its client.",
+        )?;
+        let untranslated =
+            by_mapping("app_translation_failed_total", "Requests and answers without a counterpart.")?;
         let times = HistogramOpts::new(
             "app_request_seconds",
             "Time from a request's last byte to its final answer, or to its head if that is passed on as it comes.",
@@ -130,6 +142,8 @@
                 "Configuration files turned down at SIGHUP.",
             )?,
             times,
+            losses,
+            untranslated,
             classes: RefCell::default(),
             timed: RefCell::default(),
             taken: Gauge::default(),
@@ -153,6 +167,18 @@
         counters
     }
 
+    /// Values were lost in a translation; mappings are few, and named by a file.
+    pub fn lost(&self, mapping: &str, values: usize) {
+        if values > 0 {
+            self.losses.with_label_values(&[mapping]).inc_by(values as u64);
+        }
+    }
+
+    /// A message had no counterpart.
+    pub fn untranslated(&self, mapping: &str) {
+        self.untranslated.with_label_values(&[mapping]).inc();
+    }
+
     /// The times of a class's requests in a pool.
     pub fn times(&self, pool: &str, class: &str) -> Rc<Times> {
         let mut timed = self.timed.borrow_mut();
--- a/crates/agent/src/plan.rs
+++ b/crates/agent/src/plan.rs
@@ -4,7 +4,9 @@
 use heronhoist_decision::Settings;
 use heronhoist_engine::{Member, ServerNames};
 use heronhoist_routes::Table;
+use heronhoist_translate::Mappings;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// Pools, and what is sent to them.
 #[derive(Debug, Clone)]
@@ -17,6 +19,8 @@
     pub pools: Vec<PoolPlan>,
     /// Which of them a request goes to.
     pub routes: Table,
+    /// How requests of the old dialects are translated.
+    pub mappings: Rc<Mappings>,
 }
 
 /// One fleet of record servers.
--- a/crates/agent/src/reload.rs
+++ b/crates/agent/src/reload.rs
@@ -68,7 +68,8 @@
     let ids: Vec<ClassId> = classes.iter().map(|class| class.id).collect();
     lanes.revise(&plan.pools, &ids, known);
     let catalogue = Catalogue { classes, tenants: plan.tenants.clone() };
-    Serving { catalogue, routes: plan.routes.clone(), lanes: lanes.all() }
+    let (routes, mappings) = (plan.routes.clone(), Rc::clone(&plan.mappings));
+    Serving { catalogue, routes, lanes: lanes.all(), mappings }
 }
 
 impl Reload {
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,19 +1,24 @@
 //! The clients' side: takes requests in and gives each exactly one answer.
 
-use crate::backend::{Call, Content};
+use crate::backend::{Call, Content, Served};
+use crate::config::Front;
 use crate::download::Download;
 use crate::gauge::{Gauge, Ticket};
 use crate::intake::{check_end, fault_of, Catalogue, Checked, Fault};
 use crate::lanes::{Lane, Lanes};
+use crate::legacy::{self, Answer, Asked, Translated};
 use crate::metrics::{ClassCounters, Metrics, Outcome, Times};
 use crate::ops::Shown;
 use crate::seats::{End, Seat, Seats};
 use crate::upload::{Broken, Coming};
 use crate::wire::Wire;
 use bytes::Bytes;
+use heronhoist_config::Protocol;
 use heronhoist_decision::Span;
 use heronhoist_engine::{Declined, Exchange, Final, Portion};
-use heronhoist_routes::Table;
+use heronhoist_routes::{Attributes, Table};
+use heronhoist_translate::wire::trouble::{Told, Trouble};
+use heronhoist_translate::Mappings;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
@@ -57,16 +62,28 @@
     pub routes: Table,
     /// The pools.
     pub lanes: Vec<Rc<Lane>>,
+    /// How requests of the old dialects are translated.
+    pub mappings: Rc<Mappings>,
 }
 
 impl Serving {
     /// The pool of a request.
     fn lane(&self, front: &str, checked: &Checked) -> Option<Rc<Lane>> {
         let labels = |name: &str| checked.header(name);
+        self.lane_of(|| checked.attributes(front, &labels))
+    }
+
+    /// The pool of a request of an old dialect, whose headers nobody asks for.
+    fn legacy_lane(&self, front: &str, asked: &Asked) -> Option<Rc<Lane>> {
+        let (class, path) = (asked.class.name.as_str(), asked.head.uri.path());
+        self.lane_of(|| Attributes { front, class, tenant: None, path, labels: None })
+    }
+
+    fn lane_of<'a>(&self, attributes: impl FnOnce() -> Attributes<'a>) -> Option<Rc<Lane>> {
         let place = match self.routes.rules() {
             // Nothing is looked up that no rule asks for.
             [] => self.routes.default_pool()?,
-            _ => self.routes.route(&checked.attributes(front, &labels))?,
+            _ => self.routes.route(&attributes())?,
         };
         self.lanes.get(place).map(Rc::clone)
     }
@@ -112,7 +129,7 @@
     }
 
     /// Accepts connections to a front until dropped.
-    pub async fn accept(self: &Rc<Self>, front: &Rc<str>, listener: &TcpListener) {
+    pub async fn accept(self: &Rc<Self>, front: &Rc<Front>, listener: &TcpListener) {
         self.listening.set(true);
         loop {
             // A connection that waits in the backlog has been accepted as far as its client can tell, so room
@@ -179,7 +196,7 @@
 }
 
 impl Server {
-    async fn converse(self: &Rc<Self>, front: &Rc<str>, seat: &Rc<Seat>, wire: Wire) {
+    async fn converse(self: &Rc<Self>, front: &Rc<Front>, seat: &Rc<Seat>, wire: Wire) {
         let service = service_fn(|request| {
             let (server, front, seat) = (Rc::clone(self), Rc::clone(front), Rc::clone(seat));
             async move {
@@ -227,19 +244,22 @@
     }
 
     /// One request, one answer.
-    async fn handle(&self, front: &str, seat: &Rc<Seat>, request: Request<Incoming>) -> Response<Reply> {
+    async fn handle(&self, front: &Front, seat: &Rc<Seat>, request: Request<Incoming>) -> Response<Reply> {
         if request.uri().path() == "/health/ready" && request.method() == Method::GET {
             let _ = seat.view().next_head();
             let ready = self.lanes.can_decide();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let serving = Rc::clone(&self.serving.borrow());
+        if front.protocol == Protocol::Legacy {
+            return self.handle_legacy(&front.name, seat, &serving, request).await;
+        }
         let checked = match serving.catalogue.check(seat, request) {
             Ok(checked) => checked,
             Err(fault) => return turned_away(fault, None),
         };
         let counters = Rc::clone(&checked.class.counters);
-        let lane = serving.lane(front, &checked);
+        let lane = serving.lane(&front.name, &checked);
         let answer = match &lane {
             Some(lane) => self.read_and_pass_on(seat, &serving.catalogue, lane, checked).await,
             None => {
@@ -280,14 +300,81 @@
         check_end(seat).and(answer)
     }
 
-    async fn pass_on(
+    /// The same for a client of an old dialect, which gets every answer in its own form.
+    async fn handle_legacy(
+        &self,
+        front: &str,
+        seat: &Rc<Seat>,
+        serving: &Serving,
+        request: Request<Incoming>,
+    ) -> Response<Reply> {
+        let asked = match legacy::ask(&serving.mappings, &serving.catalogue, seat, request) {
+            Ok(asked) => asked,
+            Err(told) => return closing(in_form(told)),
+        };
+        let mapping = Rc::clone(&asked.mapping);
+        let word = |trouble: &Trouble| in_form(legacy::in_form(&mapping, trouble));
+        let asked_class = Rc::clone(&asked.class);
+        let Some(lane) = serving.legacy_lane(front, &asked) else {
+            asked.discard();
+            asked_class.counters.end(Outcome::Failed);
+            return closing(word(&Trouble::Failed("No route leads from here.".into())));
+        };
+        let translated = match legacy::translate(&serving.catalogue, seat, &lane.bodies, asked).await {
+            Ok(translated) => translated,
+            Err(trouble) => {
+                let trouble = match trouble {
+                    Trouble::Refused(_) => Trouble::Refused(lane.body_advice().map(duration)),
+                    trouble => trouble,
+                };
+                if !matches!(trouble, Trouble::Refused(_)) {
+                    self.metrics.untranslated(&mapping.name);
+                }
+                let answer = word(&trouble);
+                asked_class.counters.end(outcome_of(answer.status()));
+                return closing(answer);
+            }
+        };
+        let Translated { exchange, class, mut notices } = translated;
+        let times = lane.times(&self.metrics, &class.name);
+        let carried = self.carry(seat, &lane, (&class.name, &times), exchange).await;
+        let answer = match carried {
+            Err(declined) => Err(Trouble::Refused(lane.advice(declined).map(duration))),
+            Ok((Final::Served(served), _)) => {
+                legacy::answer(&mapping, served).inspect_err(|_| self.metrics.untranslated(&mapping.name))
+            }
+            Ok((Final::Refused(after), _)) => Err(Trouble::Refused(after.map(duration))),
+            Ok((Final::OutOfTime, _)) => Err(Trouble::Failed("Its time is up.".into())),
+            Ok((Final::Failed | Final::Unfinished, _)) => Err(Trouble::Failed(String::new())),
+        };
+        let mut answer = match answer {
+            Ok(Answer { body, portion, notices: more }) => {
+                notices.extend(more);
+                let mut answer = Response::new(Reply::Held(Full::new(body), Some(portion)));
+                let kind = mapping.old.answers.content_type(mapping.old.charset);
+                answer
+                    .headers_mut()
+                    .extend(HeaderValue::try_from(kind).ok().map(|kind| (CONTENT_TYPE, kind)));
+                answer
+            }
+            Err(trouble) => word(&trouble),
+        };
+        self.metrics.lost(&mapping.name, notices.len());
+        if let Some(notice) = legacy::notice(&notices) {
+            answer.headers_mut().insert(legacy::NOTICE, notice);
+        }
+        class.counters.end(outcome_of(answer.status()));
+        answer
+    }
+
+    /// Hands a request to its pool, and waits for the final answer; what counts it as under way comes with it.
+    async fn carry(
         &self,
         seat: &Rc<Seat>,
         lane: &Lane,
         (class, times): (&str, &Times),
         exchange: Exchange<Call>,
-    ) -> Result<Response<Reply>, Fault> {
-        let upload = exchange.call.body.upload().map(Rc::clone);
+    ) -> Result<(Final<Served>, Option<Ticket>), Declined> {
         let mut in_flight = None;
         let since = Cell::new(None);
         let mut whole = || {
@@ -299,11 +386,7 @@
             whole();
         }
         // Dropped by hyper with this future when the client closes its connection.
-        let owed = match lane.pool.submit(exchange) {
-            Ok(owed) => owed,
-            Err(Declined::NameInUse) => return Err((StatusCode::CONFLICT, "X-Call-Id is in use")),
-            Err(declined) => return Ok(refused(lane.advice(declined))),
-        };
+        let owed = lane.pool.submit(exchange)?;
         let id = owed.id();
         let answer = owed.answer(whole).await;
         if let Some(since) = since.get() {
@@ -324,6 +407,22 @@
                 "request ended"
             );
         }
+        Ok((answer, in_flight))
+    }
+
+    async fn pass_on(
+        &self,
+        seat: &Rc<Seat>,
+        lane: &Lane,
+        of: (&str, &Times),
+        exchange: Exchange<Call>,
+    ) -> Result<Response<Reply>, Fault> {
+        let upload = exchange.call.body.upload().map(Rc::clone);
+        let (answer, in_flight) = match self.carry(seat, lane, of, exchange).await {
+            Ok(carried) => carried,
+            Err(Declined::NameInUse) => return Err((StatusCode::CONFLICT, "X-Call-Id is in use")),
+            Err(declined) => return Ok(refused(lane.advice(declined))),
+        };
         Ok(match answer {
             Final::Served(served) => {
                 let body = match served.body {
@@ -439,12 +538,29 @@
     answer
 }
 
+fn duration(span: Span) -> Duration {
+    Duration::from_micros(span.0)
+}
+
+/// An answer in an old client's form.
+fn in_form(told: Told) -> Response<Reply> {
+    let mut answer = Response::new(Reply::Held(Full::new(told.body.into()), None));
+    *answer.status_mut() = StatusCode::from_u16(told.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(told.content_type));
+    answer.headers_mut().extend(told.retry_after.map(|seconds| (RETRY_AFTER, HeaderValue::from(seconds))));
+    answer
+}
+
+/// Whatever else may come on its connection is not waited for.
+fn closing(mut answer: Response<Reply>) -> Response<Reply> {
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
 /// An answer to what can't be used; whatever else may come on its connection is not waited for.
 fn turned_away((status, why): Fault, retry_after: Option<Span>) -> Response<Reply> {
-    let mut answer = match status {
+    closing(match status {
         StatusCode::SERVICE_UNAVAILABLE => refused(retry_after),
         status => plain(status, why),
-    };
-    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    answer
+    })
 }
--- a/crates/agent/src/translate.rs
+++ b/crates/agent/src/translate.rs
@@ -119,6 +119,22 @@
     }
 }
 
+/// All mapping files of a directory, or each fault in a line of its own.
+pub fn read_all(directory: &Path) -> Result<Vec<(PathBuf, Mapping)>, Fault> {
+    let (mut sound, mut faults) = (Vec::new(), Vec::new());
+    for path in files(directory)? {
+        match read(&path) {
+            Ok(mapping) => sound.push((path, mapping)),
+            Err(Fault::Faulty(lines)) => faults.push(lines),
+            Err(unread) => return Err(unread),
+        }
+    }
+    match faults.is_empty() {
+        true => Ok(sound),
+        false => Err(Fault::Faulty(faults.join("\n"))),
+    }
+}
+
 fn check(paths: &[PathBuf]) -> Told {
     let (mut told, mut faults, mut names) = (String::new(), Vec::new(), Vec::<(String, PathBuf)>::new());
     for path in paths.iter().map(|path| files(path)).collect::<Result<Vec<_>, _>>()?.concat() {
--- /dev/null
+++ b/crates/agent/tests/loopback/legacy.rs
@@ -0,0 +1,302 @@
+//! Old clients before new servers: what each side sees, and every way that it can fail told in the client's own form.
+use crate::common::*;
+use std::path::PathBuf;
+
+const CLASSES: &str = r#"
+[[class]]
+name = "lookup"
+effect = "idempotent"
+aim_ms = 5000
+deadline_ms = 10000
+[[class]]
+name = "correction"
+effect = "deduplicated"
+dedup_group = "cell"
+dedup_window_ms = 600
+aim_ms = 5000
+deadline_ms = 10000
+[[class]]
+name = "certified-copy"
+effect = "at_most_once"
+aim_ms = 5000
+deadline_ms = 10000
+"#;
+const OBSERVED: &str =
+    "{\"station\":{\"id\":\"KMIA\",\"name\":\"Miami\"},\"observations\":[{\"at\":\"2026-06-01T04:30:15Z\",\
+    \"temperature_c\":25,\"wind_m_s\":5.14,\"quality\":\"good\"}]}";
+const APPLIED: &str =
+    "{\"status\":\"applied\",\"revision\":7,\"applied_at\":\"2026-12-01T13:05:09Z\",\"links\":{\"self\":\"/r/7\"}}";
+const ORDERED: &str =
+    "{\"order\":9,\"pages\":12,\"fee\":{\"amount\":36.00,\"currency\":\"USD\"},\"ready_on\":\"2026-12-04\"}";
+
+/// The worked mapping files, in a folder of the test's own.
+fn mappings() -> PathBuf {
+    let (from, to) =
+        (concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/translate"), folder().join("translate"));
+    std::fs::create_dir_all(&to).unwrap();
+    for entry in std::fs::read_dir(from).unwrap() {
+        let path = entry.unwrap().path();
+        std::fs::copy(&path, to.join(path.file_name().unwrap())).unwrap();
+    }
+    to
+}
+
+fn config(mappings: &std::path::Path, server: Option<&Backend>) -> String {
+    let address = server.map_or("127.0.0.1:1".to_owned(), |server| server.address.to_string());
+    format!(
+        "[ops]\nlisten = \"127.0.0.1:0\"\n{CLASSES}\n[translate]\nmappings = {:?}\n\
+         [[front]]\nname = \"desk\"\nprotocol = \"legacy\"\nlisten = \"127.0.0.1:0\"\n\
+         [[pool]]\nname = \"main\"\nmembership = \"static\"\nmax_attempts = 2\n\
+         [[pool.server]]\nname = \"s\"\naddress = \"{address}\"\n",
+        mappings.to_str().unwrap()
+    )
+}
+
+fn records() -> Backend {
+    Backend::new(|message| match message.path().split('?').next() {
+        Some("/lookup") => ok(OBSERVED),
+        Some("/correction") => ok(APPLIED),
+        _ => ok(ORDERED),
+    })
+}
+
+fn start(server: &Backend) -> Agent {
+    Agent::start_own(&folder(), &config(&mappings(), Some(server)))
+}
+
+fn post(path: &str, headers: &str, body: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nHost: old\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+fn correction(number: u32) -> String {
+    let body =
+        format!("DESK=0042&NUM={number}&STN=KTPA&OBSDT=202612010805&WHAT=R&RAIN=1.50&URGENT=Y&CLERK=Ann");
+    post("/desk/correct.cgi", "Content-Type: application/x-www-form-urlencoded\r\n", &body)
+}
+
+fn order(fields: &str) -> String {
+    let body = format!(
+        "<s:Envelope xmlns:s=\"http://schemas.xmlsoap.org/soap/envelope/\"><s:Body><m:OrderCopies xmlns:m=\"urn:desk:copies:1\">\
+         {fields}</m:OrderCopies></s:Body></s:Envelope>"
+    );
+    let headers =
+        "Content-Type: text/xml; charset=iso-8859-1\r\nSOAPAction: \"urn:desk:copies:1#OrderCopies\"\r\n";
+    post("/desk/copies.asmx", headers, &body)
+}
+
+const ORDER: &str = "<CaseNo>7</CaseNo><Station>K</Station><FirstDay>01.02.2026</FirstDay><LastDay>02.02.2026</LastDay>\
+    <Copies>1</Copies><Sealed>no</Sealed><Court><Name>x</Name></Court><Party><Name>a</Name><Role>P</Role></Party>";
+
+#[test]
+fn a_query_of_http_1_0_reaches_a_new_server() {
+    let server = records();
+    let agent = start(&server);
+    let query = "STN=KMIA&BEG=03%2F08%2F2026+01%3A59&END=03%2F08%2F2026+03%3A00&WHAT=W&CLERK=Ann";
+    let answer = Client::to(&agent).ask(&format!("GET /desk/lookup.cgi?{query} HTTP/1.0\r\n\r\n"));
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.body, b"H|KMIA|Miami|\r\nOBS|06/01/2026 00:30:15|77|10||G|\r\nT|2\r\n");
+    assert_eq!(answer.header("content-type"), Some("text/plain; charset=windows-1252"));
+    assert_eq!(answer.header("x-translation-notice"), Some("observations.wind_m_s rounded to 10.0"));
+    let seen = server.heard.wait(1).remove(0);
+    assert_eq!(
+        seen.path(),
+        "/lookup?station=KMIA&from=2026-03-08T01%3A59%3A00-05%3A00&to=2026-03-08T03%3A00%3A00-04%3A00&kind=wind&x_old.CLERK=Ann"
+    );
+    assert_eq!(seen.header("x-call-class"), Some("lookup"));
+    assert_eq!(seen.header("x-call-id").map(str::len), Some(32));
+    assert!(seen.header("x-budget-ms").is_some_and(|ms| ms.parse::<u32>().unwrap() <= 10_000));
+    assert_eq!(agent.figure("app_translation_losses_total{mapping=\"lookup\"}"), Some(1.0));
+}
+
+/// The key is the same for a repeat, through another agent that was started later too, and for no other request.
+#[test]
+fn a_repeat_has_the_key_of_its_first() {
+    let server = records();
+    let (one, other) = (start(&server), start(&server));
+    let mut client = Client::to(&one);
+    for request in [correction(1), correction(1), correction(2)] {
+        let answer = client.ask(&request);
+        assert_eq!(
+            (answer.status(), answer.body.as_slice()),
+            (200, &b"H|OK|7|20261201080509\r\nT|1\r\n"[..])
+        );
+    }
+    drop((client, one));
+    assert_eq!(Client::to(&other).ask(&correction(1)).status(), 200);
+    let seen = server.heard.wait(4);
+    let keys: Vec<_> =
+        seen.iter().map(|message| message.header("idempotency-key").unwrap().to_owned()).collect();
+    assert!(keys[0] == keys[1] && keys[1] == keys[3] && keys[0] != keys[2], "{keys:?}");
+    assert_eq!(
+        seen[0].body,
+        b"{\"reference\":\"0042-1\",\"station\":\"KTPA\",\"observed_at\":\"2026-12-01T08:05:00-05:00\",\"quantity\":\"rain\",\
+          \"rain_mm\":38.1,\"urgent\":true,\"clerk\":\"Ann\",\"schema\":2}"
+    );
+    let ids: std::collections::HashSet<_> = seen.iter().map(|m| m.header("x-call-id").unwrap()).collect();
+    assert_eq!(ids.len(), 4, "each has a name of its own");
+}
+
+#[test]
+fn an_envelope_is_answered_by_an_envelope() {
+    let server = records();
+    let agent = start(&server);
+    let answer = Client::to(&agent).ask(&order(ORDER));
+    assert_eq!(answer.status(), 200);
+    let text = String::from_utf8(answer.body).unwrap();
+    assert!(
+        text.contains("<m:OrderCopiesResponse xmlns:m=\"urn:desk:copies:1\"><OrderNo>9</OrderNo>"),
+        "{text}"
+    );
+    let seen = server.heard.wait(1).remove(0);
+    assert_eq!((seen.path(), seen.header("idempotency-key")), ("/certified-copy", None));
+    assert_eq!(seen.header("content-type"), Some("application/json"));
+}
+
+/// Nothing of these reaches a server; each client is told in its own form, and never that trying again would help.
+#[test]
+fn what_can_not_be_translated_goes_nowhere() {
+    let server = records();
+    let agent = start(&server);
+    let form = "Content-Type: application/x-www-form-urlencoded\r\n";
+    let soap = "Content-Type: text/xml\r\nSOAPAction: \"\"\r\n";
+    for (request, status, says) in [
+        ("GET /desk/lookup.cgi?STN=K HTTP/1.0\r\n\r\n".to_owned(), 400, "REQUEST NOT UNDERSTOOD"),
+        (post("/desk/correct.cgi", form, "DESK=1&NUM=1&NUM=2"), 400, "given twice"),
+        (post("/desk/correct.cgi", "Content-Type: text/plain\r\n", "DESK=1"), 400, "Content-Type is not"),
+        (
+            post("/desk/correct.cgi", form, &format!("DESK=1&NUM=1&WHY={}", "x".repeat(70_000))),
+            413,
+            "TOO LARGE",
+        ),
+        (post("/desk/copies.asmx", "Content-Type: text/xml\r\n", "<a/>"), 500, "soap:Client"),
+        (post("/desk/copies.asmx", soap, "<!DOCTYPE a><a/>"), 500, "document type"),
+        (order(&ORDER.replace("<Copies>1<", "<Copies>60<")), 500, "not within 1 and 50"),
+        (order(&format!("{ORDER}<Colour>red</Colour>")), 500, "no such field"),
+        (post("/desk/other.cgi", form, "A=1"), 404, "No such request"),
+    ] {
+        let answer = Client::to(&agent).ask(&request);
+        let text = String::from_utf8(answer.body.clone()).unwrap();
+        assert_eq!(answer.status(), status, "{text}");
+        assert!(text.contains(says), "{text} does not say {says}");
+        assert_eq!(answer.header("retry-after"), None);
+    }
+    assert_eq!(Client::to(&agent).ask(&correction(3)).status(), 200);
+    assert_eq!(server.heard.all().len(), 1);
+    let failed = |name: &str| agent.figure(&format!("app_translation_failed_total{{mapping=\"{name}\"}}"));
+    assert_eq!((failed("correction"), failed("lookup")), (Some(2.0), Some(1.0)));
+}
+
+/// A 200 that can't be said in the old form has run: a failure, and no second try at another server.
+#[test]
+fn an_answer_without_a_counterpart_is_a_failure() {
+    for body in [
+        "{\"status\":\"queued\",\"revision\":7,\"applied_at\":\"2026-12-01T13:05:09Z\"}",
+        "{\"status\":\"applied\",\"revision\":7}",
+        "{\"status\":\"applied\",\"revision\":7,\"applied_at\":\"2026-12-01T13:05:09Z\",\"more\":1}",
+        "{\"status\":\"applied\",\"revi",
+    ] {
+        let server = Backend::new(move |_| ok(body));
+        let agent = start(&server);
+        let answer = Client::to(&agent).ask(&correction(1));
+        let text = String::from_utf8(answer.body.clone()).unwrap();
+        assert!(answer.line.contains("502"), "{} {text}", answer.line);
+        assert!(text.starts_with("FAILED\r\nIt may have run."), "{text}");
+        assert_eq!(server.heard.all().len(), 1);
+        assert_eq!(agent.figure("app_failed_total{class=\"correction\"}"), Some(1.0));
+    }
+}
+
+/// Nothing ran: a refusal in each form. What may have run and broke is none.
+#[test]
+fn refusals_and_failures_keep_their_meaning() {
+    let full = Backend::new(|_| status(503, "X-Rejected: 1\r\n"));
+    let agent = start(&full);
+    let answer = Client::to(&agent).ask(&correction(1));
+    assert_eq!(answer.status(), 503);
+    assert!(String::from_utf8(answer.body).unwrap().starts_with("REFUSED\r\n"));
+    let answer = Client::to(&agent).ask(&order(ORDER));
+    assert_eq!(answer.status(), 503);
+    assert!(String::from_utf8(answer.body).unwrap().contains("<faultcode>soap:Server.Busy</faultcode>"));
+
+    let broken = Backend::new(|_| status(500, ""));
+    let agent = start(&broken);
+    let answer = Client::to(&agent).ask(&order(ORDER));
+    assert_eq!(answer.status(), 500);
+    let text = String::from_utf8(answer.body).unwrap();
+    assert!(
+        text.contains("<faultcode>soap:Server</faultcode>") && text.contains("It may have run"),
+        "{text}"
+    );
+    assert_eq!(broken.heard.all().len(), 1, "an order runs once at most");
+}
+
+/// A request without its running number can't be told from its repeats: refused, or at most once where the mapping says so.
+#[test]
+fn without_a_key_it_is_at_most_once() {
+    let server = Backend::new(|_| status(500, ""));
+    let folder = mappings();
+    let path = folder.join("correction.toml");
+    let text = std::fs::read_to_string(&path).unwrap();
+    // The running number may be left out, and is no part of the reference.
+    let open = text
+        .replace("[key]", "[key]\nwithout = \"certified-copy\"")
+        .replace("range = [\"1\", \"1000000000000000000\"]\n[[old.request]]\nname = \"STN\"", "range = [\"1\", \"1000000000000000000\"]\noptional = true\n[[old.request]]\nname = \"STN\"")
+        .replace("old = [\"DESK\", \"NUM\"]\nnew = \"reference\"\nfunction = \"join\"\nwith = \"-\"", "old = \"NUM\"\npolicy = \"carry\"\n[[request]]\nold = \"DESK\"\npolicy = \"carry\"\ndefault = \"1\"\n[[request]]\nnew = \"reference\"\npolicy = \"drop\"\ndefault = \"old\"");
+    assert_ne!(open, text);
+    std::fs::write(&path, &open).unwrap();
+    let agent = Agent::start_own(&folder, &config(&folder, Some(&server)));
+    let keyless =
+        post("/desk/correct.cgi", "", "DESK=42&STN=K&OBSDT=202612010805&WHAT=R&RAIN=1&URGENT=N&CLERK=a");
+    assert_eq!(Client::to(&agent).ask(&keyless).status(), 502);
+    let seen = server.heard.all();
+    assert_eq!(seen.len(), 1, "it was not tried again");
+    assert_eq!(seen[0].header("idempotency-key"), None);
+    assert_eq!(seen[0].header("x-call-class"), Some("certified-copy"));
+}
+
+/// Mapping files change with SIGHUP, all or none.
+#[test]
+fn a_bad_mapping_changes_nothing_that_runs() {
+    let server = records();
+    let folder = mappings();
+    let own = config(&folder, Some(&server));
+    let agent = Agent::start_own(&folder, &own);
+    let path = folder.join("correction.toml");
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, text.replace("\"OK\", \"applied\"", "\"OK\", \"aplied\"")).unwrap();
+    agent.reload(&own);
+    agent.wait_figure("app_reloads_failed_total", 1.0);
+    assert_eq!(agent.reloads(), (0.0, 1.0));
+    assert_eq!(Client::to(&agent).ask(&correction(1)).status(), 200);
+    std::fs::write(&path, text.replace("/desk/correct.cgi", "/desk/moved.cgi")).unwrap();
+    agent.reload(&own);
+    agent.wait_figure("app_reloads_ok_total", 1.0);
+    assert_eq!(agent.reloads(), (1.0, 1.0));
+    assert_eq!(Client::to(&agent).ask(&correction(1)).status(), 404);
+    assert_eq!(Client::to(&agent).ask(&correction(1).replace("correct", "moved")).status(), 200);
+}
+
+/// A start with a mapping that has a fault is one line that names file and line.
+#[test]
+fn a_bad_start_names_file_and_line() {
+    let (folder, own) = (mappings(), folder());
+    let path = folder.join("lookup.toml");
+    let text = std::fs::read_to_string(&path).unwrap();
+    for (from, to, says) in [
+        ("unmappable = \"refuse\"\n", "", "lookup.toml:line"),
+        ("class = \"lookup\"", "class = \"search\"", "class search is not served"),
+        ("path = \"/desk/lookup.cgi\"\n", "path = \"/desk/correct.cgi\"\n", ""),
+    ] {
+        std::fs::write(&path, text.replacen(from, to, 1)).unwrap();
+        let file = own.join("own.toml");
+        std::fs::write(&file, config(&folder, None)).unwrap();
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_heronhoist"))
+            .args(["check"])
+            .arg(&file)
+            .output()
+            .unwrap();
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.success(), says.is_empty(), "{said}");
+        assert!(said.contains(says) && said.lines().count() <= 1, "{said}");
+    }
+}
--- a/crates/agent/tests/loopback/main.rs
+++ b/crates/agent/tests/loopback/main.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod common;
 mod handover;
+mod legacy;
 mod limits;
 mod lists;
 mod ops;
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -39,6 +39,8 @@
     pub pools: Vec<Pool>,
     /// Where clients come; at least one.
     pub fronts: Vec<Front>,
+    /// The directory of the mapping files, as the file names it; there is one if a front is [`Protocol::Legacy`].
+    pub mappings: Option<String>,
     /// Which pool a request goes to, by its place in `pools`.
     pub routes: Table,
     /// All values in force, and who said so.
@@ -52,6 +54,17 @@
     pub name: String,
     /// Its address; no two are the same.
     pub listen: SocketAddr,
+    /// What its clients speak.
+    pub protocol: Protocol,
+}
+
+/// What the clients of a front speak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Protocol {
+    /// The servers' own HTTP.
+    Http,
+    /// The old dialects of the mapping files; each request is translated.
+    Legacy,
 }
 
 /// A fleet of servers.
@@ -189,7 +202,11 @@
     let classes = classes(reader, &mut root);
     let tenants = tenants(reader, &mut root);
     let pools = pools(reader, &mut root, &classes, &tenants);
-    let fronts = fronts(reader, &mut root, operators);
+    let mut translate = reader.section(&mut root, "translate");
+    let absent = needed(translate.is_there());
+    let mappings = reader.get(&mut translate, "mappings", absent, "a directory", text);
+    reader.end(translate);
+    let fronts = fronts(reader, &mut root, operators, mappings.is_some());
     let routes = routes(reader, &mut root, &classes, &tenants, &pools, &fronts);
     reader.end(root);
     Some(File {
@@ -202,6 +219,7 @@
         tenants: names_of(&tenants),
         pools: values_of(&pools),
         fronts: values_of(&fronts),
+        mappings,
         routes: routes?,
         entries: Vec::new(),
     })
@@ -482,6 +500,7 @@
     reader: &mut Reader<'t>,
     root: &mut Section<'t>,
     operators: Option<SocketAddr>,
+    translates: bool,
 ) -> Named<Front> {
     let (mut taken, mut fronts) = (Vec::new(), Named::<Front>::new());
     let sections = reader.sections(root, "front");
@@ -490,8 +509,13 @@
     }
     for mut section in sections {
         let name = name(reader, &mut section, &mut taken);
-        let http = Absent::Default("http");
-        reader.get(&mut section, "protocol", http, "\"http\"", one_of(&[("http", "http")]));
+        let http = Absent::Default(Protocol::Http);
+        let protocol =
+            reader.get(&mut section, "protocol", http, "\"http\" or \"legacy\"", one_of(PROTOCOLS));
+        if protocol == Some(Protocol::Legacy) && !translates {
+            let what = "found \"legacy\"; wanted [translate] with mappings = \"DIR\" beside it".into();
+            reader.fault(&section, "protocol", what);
+        }
         let listen = reader.expanded(&mut section, "listen", Absent::Fault, ADDRESS, address);
         let others = fronts.iter().filter_map(|(_, front)| Some(front.as_ref()?.listen)).chain(operators);
         if let Some(twice) =
@@ -503,7 +527,8 @@
                 format!("found {twice} a second time; wanted an address of its own"),
             );
         }
-        fronts.extend(name.map(|name| (name.clone(), listen.map(|listen| Front { name, listen }))));
+        let front = |name| Some(Front { name, listen: listen?, protocol: protocol? });
+        fronts.extend(name.map(|name: String| (name.clone(), front(name))));
         reader.end(section);
     }
     if fronts.len() > FRONTS_MOST {
@@ -512,6 +537,7 @@
     fronts
 }
 
+const PROTOCOLS: &[(&str, Protocol)] = &[("http", Protocol::Http), ("legacy", Protocol::Legacy)];
 /// A process passes its listening sockets to the next in one message, which holds no more.
 const FRONTS_MOST: usize = 16;
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -30,5 +30,5 @@
 mod file;
 pub mod reader;
 
-pub use file::{parse, File, Front, LogFormat, Membership, Pool, Server, ServerState};
+pub use file::{parse, File, Front, LogFormat, Membership, Pool, Protocol, Server, ServerState};
 pub use reader::{Entry, Environment, Fault, Source};
--- a/crates/translate/src/compile.rs
+++ b/crates/translate/src/compile.rs
@@ -5,7 +5,7 @@
 use crate::convert::{Cast, Condition, Rule};
 use crate::field::{Clock, ClockForm, Field, Fold, Grain, Kind, Value};
 use crate::file::{self, line_of, Cut, File, Function, Policy, Replace};
-use crate::mapping::{Dialect, Fault, Form, Mapping, Note, Part, Side};
+use crate::mapping::{Dialect, Fault, Form, Key, Mapping, Note, Part, Side};
 use crate::units::{self, Rounding};
 use jiff::tz::TimeZone;
 use rust_decimal::Decimal;
@@ -43,9 +43,9 @@
                 }
             }
         });
-        (places.collect::<Vec<_>>(), key.namespace.clone())
+        Key { fields: places.collect(), namespace: key.namespace.clone(), without: key.without.clone() }
     });
-    if key.as_ref().is_some_and(|(places, _)| places.is_empty()) {
+    if key.as_ref().is_some_and(|key| key.fields.is_empty()) {
         compiler.fault(&file.name, "key.old", "a key is made of one field at least");
     }
     let Compiler { mut faults, notes, .. } = compiler;
--- a/crates/translate/src/explain.rs
+++ b/crates/translate/src/explain.rs
@@ -17,10 +17,18 @@
         let _ =
             writeln!(out, "| {} | `{} {}`, {asks} | {answers} |", side.name(), dialect.method, dialect.path);
     }
-    if let Some((fields, namespace)) = &mapping.key {
-        let names: Vec<_> = fields.iter().map(|&at| format!("`{}`", mapping.old.request[at].path)).collect();
+    if let Some(key) = &mapping.key {
+        let names: Vec<_> =
+            key.fields.iter().map(|&at| format!("`{}`", mapping.old.request[at].path)).collect();
         let names = names.join(", ");
-        let _ = writeln!(out, "\n`Idempotency-Key` of an old request: hash of {names} within `{namespace}`.");
+        let _ = writeln!(
+            out,
+            "\n`Idempotency-Key` of an old request: hash of {names} within `{}`.",
+            key.namespace
+        );
+        if let Some(class) = &key.without {
+            let _ = writeln!(out, "A request that lacks one of them is of class `{class}`.");
+        }
     }
     for part in [Part::Request, Part::Answer] {
         let _ = writeln!(out, "\n## The {}\n\n| old | new | how |\n| --- | --- | --- |", part.name());
--- a/crates/translate/src/file.rs
+++ b/crates/translate/src/file.rs
@@ -190,6 +190,7 @@
 pub(crate) struct Key {
     pub old: Vec<Spanned<String>>,
     pub namespace: String,
+    pub without: Option<String>,
 }
 
 /// Where a byte of a text stands, counted from one.
--- a/crates/translate/src/mapping.rs
+++ b/crates/translate/src/mapping.rs
@@ -5,6 +5,7 @@
 use crate::node::{Limits, Node};
 use crate::wire::{form, json, soap, table};
 use std::fmt;
+use std::rc::Rc;
 
 /// One of the two dialects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -224,7 +225,45 @@
     pub notes: Vec<Note>,
     pub(crate) request: Vec<crate::convert::Rule>,
     pub(crate) answer: Vec<crate::convert::Rule>,
-    pub(crate) key: Option<(Vec<usize>, String)>,
+    pub(crate) key: Option<Key>,
+}
+
+/// What the keys of old requests are made of.
+#[derive(Debug, Clone)]
+pub(crate) struct Key {
+    pub fields: Vec<usize>,
+    pub namespace: String,
+    /// The class of a request that has no key.
+    pub without: Option<String>,
+}
+
+/// All mappings of an installation, by how their requests are told apart.
+#[derive(Debug, Clone, Default)]
+pub struct Mappings(Vec<Rc<Mapping>>);
+
+impl Mappings {
+    /// The mappings, of which no two may have old requests of one method and path.
+    pub fn new(mappings: Vec<Mapping>) -> Result<Self, String> {
+        for (n, one) in mappings.iter().enumerate() {
+            let same =
+                |other: &&Mapping| (&other.old.method, &other.old.path) == (&one.old.method, &one.old.path);
+            if let Some(other) = mappings[..n].iter().find(same) {
+                let (method, path) = (&one.old.method, &one.old.path);
+                return Err(format!("{} and {} both translate {method} {path}", other.name, one.name));
+            }
+        }
+        Ok(Mappings(mappings.into_iter().map(Rc::new).collect()))
+    }
+
+    /// The mapping of an old request.
+    pub fn find(&self, method: &str, path: &str) -> Option<&Rc<Mapping>> {
+        self.0.iter().find(|mapping| mapping.old.method == method && mapping.old.path == path)
+    }
+
+    /// All of them.
+    pub fn all(&self) -> &[Rc<Mapping>] {
+        &self.0
+    }
 }
 
 impl Mapping {
@@ -236,17 +275,27 @@
         }
     }
 
+    /// Old requests have keys.
+    pub fn has_keys(&self) -> bool {
+        self.key.is_some()
+    }
+
+    /// The class of an old request that should have a key and has none; it can't be told from its repeats.
+    pub fn class_without_key(&self) -> Option<&str> {
+        self.key.as_ref().and_then(|key| key.without.as_deref())
+    }
+
     /// The key of an old request's repeats, from the fields that its file names; None if it names none, or if one is
     /// not there.
     pub fn key(&self, request: &Node) -> Option<String> {
-        let (fields, namespace) = self.key.as_ref()?;
+        let key = self.key.as_ref()?;
         let part = |&at: &usize| {
             let field = &self.old.request[at];
             let value = field.read(request, self.old.form.typing()).ok()??;
             field.kind.format(&value).ok().filter(|text| !text.is_empty())
         };
-        let parts: Option<Vec<String>> = fields.iter().map(part).collect();
-        parts.map(|parts| crate::key::key(namespace, parts.iter().map(String::as_str)))
+        let parts: Option<Vec<String>> = key.fields.iter().map(part).collect();
+        parts.map(|parts| crate::key::key(&key.namespace, parts.iter().map(String::as_str)))
     }
 }
 
