Keep back no more than an eighth of a short budget, so that attempts have time to end

The reserves are now at most an eighth (attempts) and a sixteenth (the last answer) of the budget; over 120 ms nothing changes.

Also benches/cost of the translator and a factor for long runs of its tests.

--- a/check.sh
+++ b/check.sh
@@ -19,6 +19,7 @@
 lab run scenarios/found/cold-and-full.toml --seeds 1064
 lab run scenarios/found/cold-and-late.toml --seeds 20061..20066
 lab run scenarios/found/one-cold-left.toml --seeds 5237..5242
+lab run scenarios/found/short-deadline.toml --seeds 24194..24196
 lab run scenarios/found/tight-aim.toml --seeds 5159
 lab run scenarios/found/dead-but-listed.toml --seeds 9353..9355
 # The real agent on sockets: what does not hang on how fast the machine is.
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -24,6 +24,9 @@
 /// No attempt is waited for longer than until this before the client's deadline, so that the module can still
 /// word the final answer, and that can still arrive.
 const ATTEMPT_RESERVE: Duration = Duration::from_millis(15);
+/// Of a short budget the reserves take no more than this part each: a client that waits for 23 ms is better served by an
+/// attempt of 20 ms than by one of 8.
+const RESERVE_PART: u32 = 8;
 /// How long after the drain's grace a server that is gone is still known: whatever was decided before has gone by then.
 const FORGET_AFTER: Duration = Duration::from_secs(1);
 /// How often connections that have rested long enough, and servers that have left, are looked for.
@@ -531,7 +534,7 @@
         let (cancel, cancelled) = oneshot::channel();
         open.out.push((attempt, Some(cancel)));
         // Nothing is sent for a request that has its answer, nor beyond the attempts or the time it has.
-        let latest = open.deadline.map(|deadline| deadline - ATTEMPT_RESERVE);
+        let latest = open.deadline.map(|deadline| deadline - reserve(ATTEMPT_RESERVE, open.budget));
         let until = self.0.clock.instant(timeout_at);
         let until = latest.map_or(until, |latest| until.min(latest));
         let lawful = open.reply.is_some() && attempt < open.max_attempts && until > now;
@@ -565,7 +568,9 @@
         let late = async {
             match call.arriving() {
                 Some(arriving) => match arriving.ended().await {
-                    Coming::Whole(at) => sleep_until((at + budget - ATTEMPT_RESERVE).min(until)).await,
+                    Coming::Whole(at) => {
+                        sleep_until((at + budget - reserve(ATTEMPT_RESERVE, budget)).min(until)).await
+                    }
                     // The exchange sees that too, and knows what it means.
                     Coming::More | Coming::Broken => std::future::pending().await,
                 },
@@ -639,14 +644,19 @@
     deadline: Option<Instant>,
 }
 
+/// What is kept back of a client's time.
+fn reserve(usual: Duration, budget: Duration) -> Duration {
+    usual.min(budget / RESERVE_PART)
+}
+
 impl<U: Upstream> Owed<U> {
     /// The request's number in its pool, as events name it.
     pub fn id(&self) -> u64 {
         self.id.0
     }
 
-    /// The one final answer, no later than [`ANSWER_RESERVE`] before the client stops waiting: that promise does not
-    /// hang on the module. `whole` is called when the last of a request has come that was submitted before that.
+    /// The one final answer, no later than [`ANSWER_RESERVE`] before the client stops waiting (less for a short budget):
+    /// that promise does not hang on the module. `whole` is called when the last of a request has come that was submitted before that.
     pub async fn answer(mut self, mut whole: impl FnMut()) -> Final<U::Answer> {
         let call = Rc::clone(&self.call);
         if let (None, Some(arriving)) = (self.deadline, call.arriving()) {
@@ -666,7 +676,8 @@
         }
         // One that never comes in parts and has no deadline waits as long as its budget says.
         let deadline = self.deadline.unwrap_or_else(|| Instant::now() + self.budget);
-        let last = deadline - ANSWER_RESERVE.min(deadline.saturating_duration_since(Instant::now()));
+        let left = deadline.saturating_duration_since(Instant::now());
+        let last = deadline - reserve(ANSWER_RESERVE, self.budget / 2).min(left);
         tokio::select! {
             biased;
             answer = &mut self.answer => answer.unwrap_or(Final::Failed),
@@ -770,6 +781,23 @@
         LocalSet::new().run_until(test).await;
     }
 
+    /// A client that waits for 23 ms gets nearly all of them for its attempt, and its answer in time.
+    #[tokio::test(start_paused = true)]
+    async fn a_short_budget_is_not_spent_on_reserves() {
+        let test = async {
+            let (pool, begun, budget) = (pool(true, 9), Instant::now(), Duration::from_millis(23));
+            let mut settings = Settings::default();
+            settings.classes[0].aim = Span::from_ms(11.0);
+            pool.revise(settings, vec![ClassId(1)], &[]);
+            let owed = pool.submit(Exchange::new(Nothing, ClassId(1), budget)).expect("taken");
+            let answer = owed.answer(|| {}).await;
+            let waited = begun.elapsed();
+            assert!(!matches!(answer, Final::Served(())), "its server never answers");
+            assert!((Duration::from_millis(18)..budget).contains(&waited), "{waited:?}");
+        };
+        LocalSet::new().run_until(test).await;
+    }
+
     /// What can't be taken is turned away at once, with a time to come back.
     #[tokio::test(start_paused = true)]
     async fn a_pool_without_a_list_or_room_declines_at_once() {
--- /dev/null
+++ b/crates/translate/benches/cost.rs
@@ -0,0 +1,72 @@
+//! What a translation costs, by the size of the message: decode, convert and encode, against reading and writing the same
+//! bytes in one form. `cargo bench -p heronhoist-translate`
+//!
+//! Sizes are those of the message that comes in, from about 100 bytes to 64 KiB: an answer with more observations, and an
+//! order with more parties.
+#![allow(missing_docs)]
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion, Throughput};
+use heronhoist_translate::{mapping, Limits, Mapping, Part, Side};
+
+const ROOM: Limits = Limits { bytes: 1 << 20, fields: 1 << 16, depth: 8 };
+
+fn there(mapping: &Mapping, part: Part, from: Side, bytes: &[u8]) -> Vec<u8> {
+    let message = mapping.dialect(from).decode(part, bytes, ROOM).expect("it can be read");
+    let done = mapping.convert(part, from, &message).expect("it can be translated");
+    mapping.dialect(from.other()).encode(part, &done.message).expect("it can be written")
+}
+
+fn plain(mapping: &Mapping, part: Part, from: Side, bytes: &[u8]) -> Vec<u8> {
+    let dialect = mapping.dialect(from);
+    dialect
+        .encode(part, &dialect.decode(part, bytes, ROOM).expect("it can be read"))
+        .expect("it can be written")
+}
+
+fn observations(count: usize) -> Vec<u8> {
+    let one = |n: usize| {
+        let (hour, minute) = (n / 60 % 24, n % 60);
+        format!(
+            "{{\"at\":\"2026-06-01T{hour:02}:{minute:02}:15Z\",\"temperature_c\":25.5,\"wind_m_s\":5.14,\"rain_mm\":0.254,\
+             \"quality\":\"good\",\"note\":\"gusts\"}}"
+        )
+    };
+    let all: Vec<String> = (0..count).map(one).collect();
+    let list = all.join(",");
+    format!("{{\"station\":{{\"id\":\"KMIA\",\"name\":\"Miami\"}},\"observations\":[{list}]}}").into_bytes()
+}
+
+fn cost(c: &mut Criterion) {
+    // Room for 64 KiB of observations, which the worked file does not need.
+    let lookup = include_str!("../../../deploy/translate/lookup.toml").replace("max = 500", "max = 5000");
+    let lookup = mapping::read(&lookup).expect("sound");
+    let mut group = c.benchmark_group("answer");
+    for count in [0, 1, 8, 64, 500] {
+        let new = observations(count);
+        let old = there(&lookup, Part::Answer, Side::New, &new);
+        for (name, from, bytes) in [("json to table", Side::New, &new), ("table to json", Side::Old, &old)] {
+            group.throughput(Throughput::Bytes(bytes.len() as u64));
+            group.bench_with_input(BenchmarkId::new(name, bytes.len()), bytes, |b, bytes| {
+                b.iter(|| there(&lookup, Part::Answer, from, bytes));
+            });
+            group.bench_with_input(
+                BenchmarkId::new(format!("{name}, read and written"), bytes.len()),
+                bytes,
+                |b, bytes| {
+                    b.iter(|| plain(&lookup, Part::Answer, from, bytes));
+                },
+            );
+        }
+    }
+    group.finish();
+    let correction = mapping::read(include_str!("../../../deploy/translate/correction.toml")).expect("sound");
+    let request = b"DESK=0042&NUM=17&STN=KTPA&OBSDT=202612010805&WHAT=W&WIND=61.5&URGENT=Y&CLERK=Ann&WHY=gauge+was+stuck";
+    c.bench_function("correction, form to json", |b| {
+        b.iter(|| there(&correction, Part::Request, Side::Old, request));
+    });
+    let message = correction.old.decode(Part::Request, request, ROOM).expect("it can be read");
+    c.bench_function("its key", |b| b.iter(|| correction.key(&message)));
+}
+
+criterion_group!(benches, cost);
+criterion_main!(benches);
--- a/crates/translate/tests/round_trip.rs
+++ b/crates/translate/tests/round_trip.rs
@@ -23,8 +23,10 @@
     (Part::Answer, Side::New),
 ];
 
-/// The same cases every time.
+/// The same cases every time; so many times more for a long run, which goes on where the short one ends.
 fn runner(cases: u32) -> TestRunner {
+    let times = std::env::var("HERONHOIST_CASES").ok().and_then(|times| times.parse().ok()).unwrap_or(1);
+    let cases = cases.saturating_mul(times);
     let config = Config { cases, failure_persistence: None, ..Config::default() };
     TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
 }
