--- a/crates/translate/src/field.rs
+++ b/crates/translate/src/field.rs
@@ -6,6 +6,7 @@
 use jiff::tz::{AmbiguousOffset, Offset, TimeZone};
 use jiff::Timestamp;
 use rust_decimal::Decimal;
+use std::borrow::Cow;
 
 /// A field of one side's message.
 #[derive(Debug, Clone)]
@@ -149,25 +150,23 @@
 
     fn write(&self, moment: Moment) -> Result<String, String> {
         let text = match &self.form {
-            ClockForm::Unix => moment.at.as_second().to_string(),
+            ClockForm::Unix => return Ok(moment.at.as_second().to_string()),
             ClockForm::Rfc3339 => {
                 let offset = moment.offset.unwrap_or_else(|| self.zone.to_offset(moment.at));
                 if offset.seconds() % 60 != 0 {
                     return Err("an offset of parts of a minute".into());
                 }
                 let local = offset.to_datetime(moment.at);
+                if local.year() < 0 {
+                    return Err("a year before the first".into());
+                }
                 let sign = if offset.seconds() < 0 { '-' } else { '+' };
                 let minutes = offset.seconds().abs() / 60;
-                let local = match offset == Offset::UTC {
-                    true => format!("{}Z", local.strftime("%Y-%m-%dT%H:%M:%S%.f")),
-                    false => format!(
-                        "{}{sign}{:02}:{:02}",
-                        local.strftime("%Y-%m-%dT%H:%M:%S%.f"),
-                        minutes / 60,
-                        minutes % 60
-                    ),
-                };
-                local
+                // As RFC 3339 has it but for the offset (ISO 8601, with as many parts of a second as it takes).
+                return Ok(match offset == Offset::UTC {
+                    true => format!("{local}Z"),
+                    false => format!("{local}{sign}{:02}:{:02}", minutes / 60, minutes % 60),
+                });
             }
             ClockForm::Local(form) => self.zone.to_datetime(moment.at).strftime(form).to_string(),
         };
@@ -381,9 +380,8 @@
             };
             return items.iter().map(item).collect::<Result<_, String>>().map(Node::List);
         }
+        self.kind.check(value)?;
         let text = self.kind.format(value)?;
-        // What is written must be what would be read: within its bounds, its length, its words.
-        self.kind.parse(&text)?;
         Ok(match value {
             Value::Flag(flag) if typing.typed => Node::Flag(*flag),
             _ if typing.typed && self.kind.is_number() => Node::Number(text),
@@ -397,14 +395,18 @@
     fn within(node: &Node, path: &str, fields: &[Field], extension: Option<&str>) -> Option<String> {
         let Node::Record(members) = node else { return Some(path.to_owned()) };
         members.iter().find_map(|(name, value)| {
-            let path = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
-            let known = extension == Some(&path) || fields.iter().any(|field| field.path == path);
-            let above =
-                fields.iter().any(|f| f.path.strip_prefix(&path).is_some_and(|rest| rest.starts_with('.')));
-            match (known, above, value) {
-                (true, ..) | (_, true, Node::Null) => None,
-                (false, true, _) => within(value, &path, fields, extension),
-                _ => Some(path),
+            let path: Cow<'_, str> = match path {
+                "" => name.into(),
+                path => format!("{path}.{name}").into(),
+            };
+            if extension == Some(&*path) || fields.iter().any(|field| field.path == *path) {
+                return None;
+            }
+            let is_above = |f: &Field| f.path.strip_prefix(&*path).is_some_and(|rest| rest.starts_with('.'));
+            match (fields.iter().any(is_above), value) {
+                (true, Node::Null) => None,
+                (true, _) => within(value, &path, fields, extension),
+                _ => Some(path.into_owned()),
             }
         })
     }
@@ -414,6 +416,13 @@
     }
 }
 
+fn within<T: PartialOrd + std::fmt::Display>(value: &T, least: &T, most: &T) -> Result<(), String> {
+    match (least..=most).contains(&value) {
+        true => Ok(()),
+        false => Err(format!("{value} is not within {least} and {most}")),
+    }
+}
+
 impl Kind {
     /// Its name, as files have it.
     pub fn name(&self) -> &'static str {
@@ -438,40 +447,16 @@
     /// Reads a value from characters.
     pub fn parse(&self, text: &str) -> Result<Value, String> {
         match self {
-            Kind::Text(least, most) => {
-                let length = text.chars().count();
-                match (*least..=*most).contains(&length) {
-                    true => Ok(Value::Text(text.to_owned())),
-                    false => Err(format!("{length} characters, not {least} to {most}")),
-                }
-            }
-            Kind::Integer(least, most, _) => {
-                let value = integer(text)?;
-                match (*least..=*most).contains(&value) {
-                    true => Ok(Value::Integer(value)),
-                    false => Err(format!("{value} is not within {least} and {most}")),
-                }
-            }
-            Kind::Decimal(least, most, digits) | Kind::Quantity(least, most, digits, _) => {
-                let value = decimal(text)?;
-                if value.normalize().scale() > *digits {
-                    return Err(format!("{value} has more than {digits} digits after the point"));
-                }
-                match (*least..=*most).contains(&value) {
-                    true => Ok(Value::Decimal(value)),
-                    false => Err(format!("{value} is not within {least} and {most}")),
-                }
-            }
+            Kind::Text(..) => self.checked(Value::Text(text.to_owned())),
+            Kind::Integer(..) => self.checked(Value::Integer(integer(text)?)),
+            Kind::Decimal(..) | Kind::Quantity(..) => self.checked(Value::Decimal(decimal(text)?)),
             Kind::Date(form) => {
                 let day =
                     Date::strptime(form, text).ok().filter(|day| day.strftime(form).to_string() == text);
                 day.map(Value::Date).ok_or_else(|| format!("not a date as {form:?}"))
             }
             Kind::Time(clock) => clock.read(text).map(Value::Time),
-            Kind::Choice(words) => match words.iter().any(|word| word == text) {
-                true => Ok(Value::Choice(text.to_owned())),
-                false => Err(format!("{text:?} is none of {}", words.join(", "))),
-            },
+            Kind::Choice(_) => self.checked(Value::Choice(text.to_owned())),
             Kind::Flag(yes, no) => match text {
                 text if text == yes => Ok(Value::Flag(true)),
                 text if text == no => Ok(Value::Flag(false)),
@@ -481,6 +466,43 @@
         }
     }
 
+    fn checked(&self, value: Value) -> Result<Value, String> {
+        self.check(&value).map(|()| value)
+    }
+
+    /// What is written must be what would be read: within its bounds, its length, its words.
+    fn check(&self, value: &Value) -> Result<(), String> {
+        match (self, value) {
+            (Kind::Text(least, most), Value::Text(text)) => {
+                let length = text.chars().count();
+                match (*least..=*most).contains(&length) {
+                    true => Ok(()),
+                    false => Err(format!("{length} characters, not {least} to {most}")),
+                }
+            }
+            (Kind::Integer(least, most, _), Value::Integer(value)) => within(value, least, most),
+            (
+                Kind::Decimal(least, most, digits) | Kind::Quantity(least, most, digits, _),
+                Value::Decimal(value),
+            ) => {
+                if value.scale() > *digits && value.normalize().scale() > *digits {
+                    return Err(format!("{value} has more than {digits} digits after the point"));
+                }
+                within(value, least, most)
+            }
+            (Kind::Choice(words), Value::Choice(word)) if !words.contains(word) => {
+                Err(format!("{word:?} is none of {}", words.join(", ")))
+            }
+            // A year that its form has no digits for comes back as another.
+            (Kind::Date(_), Value::Date(_)) => match self.parse(&self.format(value)?)? == *value {
+                true => Ok(()),
+                false => Err("it would be written as another day".into()),
+            },
+            // A clock reads again what it has written.
+            _ => Ok(()),
+        }
+    }
+
     /// A value in characters.
     pub fn format(&self, value: &Value) -> Result<String, String> {
         match (self, value) {
--- a/crates/translate/src/units.rs
+++ b/crates/translate/src/units.rs
@@ -75,7 +75,7 @@
 }
 
 /// A ratio of whole numbers; the lower one is above zero.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy)]
 pub struct Ratio {
     above: i128,
     below: i128,
@@ -96,23 +96,35 @@
 
     /// The ratio that a decimal is.
     pub fn of(value: Decimal) -> Option<Ratio> {
-        Ratio::new(value.mantissa(), 10_i128.checked_pow(value.scale())?)
+        Some(Ratio { above: value.mantissa(), below: 10_i128.checked_pow(value.scale())? })
     }
 
+    /// Common divisors are sought only where a product would be too large: that costs more than all the rest.
     fn times(self, above: i128, below: i128) -> Option<Ratio> {
+        if let (Some(above), Some(below)) = (self.above.checked_mul(above), self.below.checked_mul(below)) {
+            return Some(Ratio { above, below });
+        }
         let (first, second) = (Ratio::new(self.above, below)?, Ratio::new(above, self.below)?);
         Ratio::new(first.above.checked_mul(second.above)?, first.below.checked_mul(second.below)?)
     }
 
     fn plus(self, hundredths: i128) -> Option<Ratio> {
-        let above = self.above.checked_mul(100)?.checked_add(hundredths.checked_mul(self.below)?)?;
-        Ratio::new(above, self.below.checked_mul(100)?)
+        if hundredths == 0 {
+            return Some(self);
+        }
+        let Ratio { above, below } =
+            match self.above.unsigned_abs().max(self.below.unsigned_abs()) > u128::MAX >> 41 {
+                true => Ratio::new(self.above, self.below)?,
+                false => self,
+            };
+        let above = above.checked_mul(100)?.checked_add(hundredths.checked_mul(below)?)?;
+        Some(Ratio { above, below: below.checked_mul(100)? })
     }
 
     /// The decimal with so many digits after the point at most, and whether it is less exact than the ratio. None if
     /// it is too large.
     pub fn round(self, digits: u32, rounding: Rounding) -> Option<(Decimal, bool)> {
-        let scaled = Ratio::new(self.above, self.below)?.times(10_i128.checked_pow(digits)?, 1)?;
+        let scaled = self.times(10_i128.checked_pow(digits)?, 1)?;
         let (whole, rest) = (scaled.above / scaled.below, scaled.above % scaled.below);
         let up = match rounding {
             Rounding::Down => false,
