--- a/check.sh
+++ b/check.sh
@@ -18,6 +18,7 @@
 # What hunt has found stays mended.
 lab run scenarios/found/cold-and-full.toml --seeds 1064
 lab run scenarios/found/cold-and-late.toml --seeds 20061..20066
+lab run scenarios/found/cold-and-looked-at.toml --seeds 25084..25089
 lab run scenarios/found/one-cold-left.toml --seeds 5237..5242
 lab run scenarios/found/short-deadline.toml --seeds 24194..24196
 lab run scenarios/found/tight-aim.toml --seeds 5159
--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -694,10 +694,13 @@
         if s.full_until.is_some_and(|until| now < until || s.in_flight > 0) {
             return false;
         }
-        if self.is_light() {
-            return !self.is_known(now, server) || s.reported + f64::from(s.sent_since) < self.most_told();
+        let warmth = self.warmth(s, now);
+        let told = s.reported + f64::from(s.sent_since);
+        if self.is_light() && self.is_known(now, server) && told >= self.most_told() {
+            return false;
         }
-        f64::from(s.in_flight) < (s.limit * self.warmth(s, now)).max(1.0)
+        // What a cold one was told is soon old, and others were told it too.
+        self.is_light() && warmth == 1.0 || f64::from(s.in_flight) < (s.limit * warmth).max(1.0)
     }
 
     /// The candidate with the least load: own requests in flight or, if light, what was told of it
