Act as one of many where balancers are: bound what is out, believe lost zones, probe suspects

Lines at fault: `has_room`, `learn`, `suspect`, `lightest` in decide.rs. Ruled out: processor time, descriptors, memory, cold servers pushed over.

Change, for settings with more than ten balancers only: Little's law over an agent's whole traffic; zones believed lost after three silent servers; pauses that grow with the fleet, jittered, and trials by probes that requests have earned; draws thinned by kind; no looks where probes are dear; held requests given up early. Events of probes, connects and lists, and LB_LOG, to count with. Tried and left out: throttling by the share of answers, three late answers as a sign, cheaper retries after a refusal.

--- a/crates/agent/src/cli.rs
+++ b/crates/agent/src/cli.rs
@@ -16,7 +16,7 @@
 #[command(
     name = "heronhoist",
     version,
-    after_help = "Without a command it is the platform's agent: LB_CONFIG names its file, and LB_LISTEN, LB_DISCOVERY and LB_OPS\noverrule the addresses in it.\n\nExit codes: 0 all is well; 1 a file has a fault, or the agent could not start; 2 the command line is wrong, or a file\ncan't be read."
+    after_help = "Without a command it is the platform's agent: LB_CONFIG names its file, and LB_LISTEN, LB_DISCOVERY and LB_OPS\noverrule the addresses in it; LB_LOG sets the levels of its log, and LB_LOG_PER_SECOND the lines a second.\n\nExit codes: 0 all is well; 1 a file has a fault, or the agent could not start; 2 the command line is wrong, or a file\ncan't be read."
 )]
 struct Arguments {
     #[command(subcommand)]
@@ -92,9 +92,9 @@
         Ok(config) => config,
         Err(fault) => return fail(&fault.to_string(), code_of(&fault)),
     };
-    let (format, levels) = &config.log;
+    let log::Wanted { format, levels, per_second } = &config.log;
     match levels.parse() {
-        Ok(levels) => log::start(*format, levels),
+        Ok(levels) => log::start(*format, levels, *per_second),
         Err(e) => return fail(&format!("log.level {levels:?}: {e}"), 1),
     }
     match crate::start(config) {
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -96,7 +96,7 @@
     /// What it serves.
     pub plan: Plan,
     /// How its log looks, and what is in it.
-    pub log: (log::Format, String),
+    pub log: log::Wanted,
     path: PathBuf,
     origin: Origin,
 }
@@ -353,7 +353,7 @@
             limits: Limits { sockets: Some(file.sockets), memory_mb: Some(file.memory_mb) },
             known: None,
             plan: own_plan(path, &file)?,
-            log: (format, file.log_level.clone()),
+            log: log::Wanted { format, levels: file.log_level.clone(), per_second: log::PER_SECOND },
             path: path.into(),
             origin: Origin::Own(Box::new(file)),
         })
@@ -368,7 +368,21 @@
         };
         let config = Config::parse(&text, places);
         let config = config.map_err(|e| Unusable::Faulty(format!("{}: {e}", path.display())))?;
-        Ok(Config { path: path.into(), ..config })
+        // The platform's file has no word for the log; whoever counts over a fleet sets these.
+        let usual = log::Wanted::default();
+        let per_second = match variable("LB_LOG_PER_SECOND") {
+            None => usual.per_second,
+            Some(text) => match text.parse::<f64>() {
+                Ok(lines) if lines.is_finite() && lines > 0.0 => lines,
+                _ => {
+                    return Err(Unusable::Faulty(format!(
+                        "LB_LOG_PER_SECOND: {text:?} is no number of lines"
+                    )))
+                }
+            },
+        };
+        let log = log::Wanted { levels: variable("LB_LOG").unwrap_or(usual.levels), per_second, ..usual };
+        Ok(Config { path: path.into(), log, ..config })
     }
 
     fn own(path: &Path) -> Result<heronhoist_config::File, Unusable> {
@@ -473,7 +487,7 @@
             limits: Limits { sockets: Some(sockets), ..file.limits },
             known: file.known.map(List::from),
             plan: plan(&file.settings, address("discovery", places.discovery.or(file.discovery))?),
-            log: (log::Format::Text, "info".into()),
+            log: log::Wanted::default(),
             path: PathBuf::new(),
             origin: Origin::Platform(shape),
         })
--- a/crates/agent/src/connections.rs
+++ b/crates/agent/src/connections.rs
@@ -168,7 +168,17 @@
             None if made_room() => self.open.overdraw(1),
             None => return Err(Outcome::NotSent),
         };
-        let stream = match timeout(self.connect_timeout.get(), TcpStream::connect(place.address)).await {
+        let (server, begun) = (place.server.0, Instant::now());
+        let connected = timeout(self.connect_timeout.get(), TcpStream::connect(place.address)).await;
+        tracing::debug!(
+            target: "heronhoist::connection",
+            server,
+            up = matches!(connected, Ok(Ok(_))),
+            held = self.open.held(),
+            elapsed_us = begun.elapsed().as_micros() as u64,
+            "connection opened"
+        );
+        let stream = match connected {
             Ok(Ok(stream)) => stream,
             // Out of descriptors: the fault is here, not the server's.
             Ok(Err(e)) if matches!(e.raw_os_error(), Some(23 | 24)) => return Err(Outcome::NotSent),
--- a/crates/agent/src/log.rs
+++ b/crates/agent/src/log.rs
@@ -10,9 +10,10 @@
 use tracing_subscriber::layer::{Context, Filter, SubscriberExt};
 use tracing_subscriber::{Layer, Registry};
 
-/// Lines that may come at once, and how many a second after that.
-const BURST: f64 = 100.0;
-const PER_SECOND: f64 = 10.0;
+/// Lines that may come at once, as so many seconds' worth.
+const BURST_S: f64 = 10.0;
+/// Lines a second, if nothing else is said.
+pub const PER_SECOND: f64 = 10.0;
 
 /// How lines look.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -24,7 +25,25 @@
     Json,
 }
 
+/// What is asked of the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wanted {
+    /// How lines look.
+    pub format: Format,
+    /// Targets and levels, as `info` or `info,heronhoist::attempt=debug`.
+    pub levels: String,
+    /// Lines a second.
+    pub per_second: f64,
+}
+
+impl Default for Wanted {
+    fn default() -> Self {
+        Wanted { format: Format::Text, levels: "info".into(), per_second: PER_SECOND }
+    }
+}
+
 struct Allowance {
+    per_second: f64,
     left: f64,
     counted_at: Instant,
     dropped: u64,
@@ -33,15 +52,15 @@
 }
 
 impl Allowance {
-    fn new(now: Instant) -> Self {
-        Allowance { left: BURST, counted_at: now, dropped: 0, before: 0 }
+    fn new(now: Instant, per_second: f64) -> Self {
+        Allowance { per_second, left: BURST_S * per_second, counted_at: now, dropped: 0, before: 0 }
     }
 
     /// False if the line is over.
     fn take(&mut self, now: Instant) -> bool {
-        let earned = now.saturating_duration_since(self.counted_at).as_secs_f64() * PER_SECOND;
+        let earned = now.saturating_duration_since(self.counted_at).as_secs_f64() * self.per_second;
         self.counted_at = now;
-        self.left = (self.left + earned).min(BURST);
+        self.left = (self.left + earned).min(BURST_S * self.per_second);
         if self.left < 1.0 {
             self.dropped += 1;
             return false;
@@ -111,11 +130,11 @@
     }
 }
 
-fn subscriber<W>(format: Format, levels: Targets, to: W) -> Box<dyn Subscriber + Send + Sync>
+fn subscriber<W>(format: Format, levels: Targets, per_second: f64, to: W) -> Box<dyn Subscriber + Send + Sync>
 where
     W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
 {
-    let bound = Bound(Arc::new(Mutex::new(Allowance::new(Instant::now()))));
+    let bound = Bound(Arc::new(Mutex::new(Allowance::new(Instant::now(), per_second))));
     let lines = Lines { bound: bound.clone(), format, to };
     let filter = levels.and(bound);
     let layer =
@@ -127,9 +146,9 @@
 }
 
 /// From here on events are written to standard error.
-pub fn start(format: Format, levels: Targets) {
+pub fn start(format: Format, levels: Targets, per_second: f64) {
     // It fails only if a subscriber was set before, which then stands.
-    let _ = tracing::subscriber::set_global_default(subscriber(format, levels, io::stderr));
+    let _ = tracing::subscriber::set_global_default(subscriber(format, levels, per_second, io::stderr));
 }
 
 #[cfg(test)]
@@ -137,6 +156,8 @@
     use super::*;
     use std::time::Duration;
 
+    const BURST: usize = (BURST_S * PER_SECOND) as usize;
+
     #[derive(Clone, Default)]
     struct Page(Arc<Mutex<Vec<u8>>>);
 
@@ -152,7 +173,7 @@
     fn told(format: Format, levels: &str, tell: impl FnOnce()) -> String {
         let page = Page::default();
         let to = page.clone();
-        let subscriber = subscriber(format, levels.parse().unwrap(), move || to.clone());
+        let subscriber = subscriber(format, levels.parse().unwrap(), PER_SECOND, move || to.clone());
         tracing::subscriber::with_default(subscriber, tell);
         let bytes = page.0.lock().unwrap().clone();
         String::from_utf8(bytes).unwrap()
@@ -161,9 +182,9 @@
     #[test]
     fn lines_over_the_allowance_are_counted_and_not_written() {
         let start = Instant::now();
-        let mut allowance = Allowance::new(start);
+        let mut allowance = Allowance::new(start, PER_SECOND);
         let written = (0..1000).filter(|_| allowance.take(start)).count();
-        assert_eq!(written, BURST as usize);
+        assert_eq!(written, BURST);
         assert!(allowance.take(start + Duration::from_secs(1)));
         assert_eq!(allowance.before, 1000 - written as u64);
     }
@@ -184,9 +205,9 @@
     #[test]
     fn a_flood_is_cut_off() {
         let flood = || (0..1000).for_each(|n| tracing::info!(n, "bad peer"));
-        assert_eq!(told(Format::Text, "info", flood).lines().count(), BURST as usize);
+        assert_eq!(told(Format::Text, "info", flood).lines().count(), BURST);
         let page = Page::default();
-        let bound = Bound(Arc::new(Mutex::new(Allowance::new(Instant::now()))));
+        let bound = Bound(Arc::new(Mutex::new(Allowance::new(Instant::now(), PER_SECOND))));
         bound.0.lock().unwrap().before = 7;
         let to = page.clone();
         let lines = Lines { bound, format: Format::Json, to: move || to.clone() };
--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -458,6 +458,12 @@
     pub started: Option<Time>,
 }
 
+impl Default for Listed {
+    fn default() -> Self {
+        Listed::serving(ServerId::default())
+    }
+}
+
 impl Listed {
     /// A serving server that started long ago, in zone, kind and cell 0.
     pub fn serving(server: ServerId) -> Self {
--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -1,17 +1,18 @@
 //! Every decision of the balancer; its interface (settings, events, actions) is in `src/api.rs`.
 //!
 //! In the order of a request's life: `arrive` takes it in, `place` decides whether and where it goes
-//! (`candidates` -> `lightest` -> `remember`), `lawful` says what may still be done with it,
-//! `outcome` learns from the answer and decides what follows, `end` gives the one final answer. `tick` looks
-//! after silent servers, held requests and the list.
+//! (`candidates` -> `lightest` -> `remember`), `lawful` says what may still be done with it, `outcome` learns
+//! and decides what follows, `end` gives the one final answer. `tick` looks after silent servers, held
+//! requests and the list.
 
 use crate::api::*;
+use crate::kinds::Kinds;
 use std::collections::BTreeMap;
 
-/// Remembered servers (m) and fresh draws (d) of each pick; the paper asks for d >= m.
+/// Remembered servers (m) and fresh draws (d) of each pick; the paper asks for d >= m. The draws of a light
+/// balancer may each cost a probe.
 const REMEMBERED: usize = 1;
 const DRAWS: usize = 3;
-/// Fresh draws of a light balancer, each of which may cost a probe.
 const DRAWS_LIGHT: usize = 2;
 /// Tries for each fresh draw to hit a server that is open; after that the whole list is gone through.
 const DRAW_TRIES: usize = 8;
@@ -28,15 +29,15 @@
 const PACE_GAIN: f64 = 0.12;
 /// Weight of a new answer in its class's pace; a slower one counts a quarter.
 const CLASS_GAIN: f64 = 0.04;
-/// Failures in a row, with no success between, that make a server suspect; and how seldom as many would
-/// have to come by chance from a server that fails as often as the others do. Where connections break
-/// everywhere, two in a row come every second, and a fleet of which half is suspect has no room.
+/// Failures in a row that make a server suspect; and how seldom as many would have to come by chance from one
+/// that fails as often as the others do: where connections break everywhere, half of the fleet would be
+/// suspect.
 const FAILURES: u32 = 2;
 const FAILURES_CHANCE: f64 = 0.002;
 /// Weight of a new answer in a server's share of failures.
 const FAILING_GAIN: f64 = 0.05;
-/// An attempt is overdue at this multiple of the pace of its class, and not before this share of its aim; of
-/// the whole aim if it is alone on its server, where it may well be a costly request and no hang.
+/// An attempt is overdue at this multiple of its class's pace, and not before this share of its aim; the
+/// second if it is alone on its server, where it may well be a costly request and no hang.
 const OVERDUE: f64 = 4.0;
 const OVERDUE_LEAST: f64 = 0.6;
 const OVERDUE_ALONE: f64 = 1.0;
@@ -45,6 +46,20 @@
 /// First and longest pause between two trials of a suspect server.
 const TRIAL_FIRST: Span = Span(250_000);
 const TRIAL_MOST: Span = Span(4_000_000);
+/// More balancers than these are many: each sees so little that it acts as a part of all of them. They try a
+/// suspect about as often as so many would, and no more than requests have earned, up to the burst.
+const MANY: f64 = 10.0;
+const TRIAL_EARN: f64 = 0.1;
+const TRIAL_BURST: f64 = 10.0;
+/// What a trial by a request costs of that (by a probe: 1), and the load of a probed suspect that is well.
+const TRIAL_REQUEST: f64 = 3.0;
+const WELL: f64 = 2.0;
+/// So many silent servers of a zone, and no answer from there since, make the others there suspect.
+const ZONE_SILENT: usize = 3;
+/// The longest that one of many holds a request unsent, as a share of what its client waits.
+const HOLD_MOST: f64 = 0.4;
+/// Where a look costs more than this (a probe a request), it does not pay.
+const LOOK_PRICE: f64 = 0.02;
 /// The share of its aim that an answer should take: over it a server's limit shrinks, under it it grows.
 const TARGET: f64 = 0.25;
 const TARGET_MOST: f64 = 0.6;
@@ -62,9 +77,9 @@
 const ALIKE: f64 = 0.25;
 /// What an answer past its aim leaves of a server's limit.
 const LATE_CUT: f64 = 0.85;
-/// A limit in full use grows by this much in the time that it takes to use it once.
+/// A limit in full use grows by the first in the time that it takes to use it once, and shrinks by the second
+/// of its overshoot an answer.
 const GROWTH: f64 = 0.1;
-/// And shrinks by this much of its overshoot an answer; 0.04 and 0.08 cost more than they save.
 const SHRINK: f64 = 0.02;
 /// Own requests in flight that a server is first thought to bear, and the most it is ever given.
 const LIMIT_FIRST: f64 = 2.0;
@@ -86,9 +101,13 @@
 const WAIT_MOST: f64 = 0.7;
 /// Traffic is counted over about this many milliseconds.
 const COUNT_MS: f64 = 3000.0;
+/// And over no less than this. What one of many may have out: a share of the aims that come in, and at least
+/// so much.
+const COUNT_LEAST_MS: f64 = 500.0;
+const OUT_SHARE: f64 = 0.2;
+const OUT_LEAST: f64 = 0.5;
 /// A tenant is over its share at this multiple of its fraction; usage wobbles without anyone flooding.
 const SHARE_SLACK: f64 = 1.4;
-/// Longest local queue, in requests.
 const HELD_MOST: usize = 500;
 /// Pause before the list is asked for again, doubled on each failure up to a quarter of what the site asks.
 const ASK_AGAIN: Span = Span(200_000);
@@ -108,6 +127,10 @@
     Cell(CellId),
 }
 
+type Key = (RequestId, u32);
+/// How an attempt ended, after how long, with what report.
+type Ended<'a> = (Outcome, Span, Option<&'a Report>);
+
 /// What may still be done with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Lawful {
@@ -202,21 +225,29 @@
     trial: bool,
     /// Its request is still arriving there: the server has no work with it yet.
     arriving: bool,
+    work: f64, // milliseconds, guessed
 }
 
 struct Suspicion {
     next_trial: Time,
     pause: Span,
     on_trial: bool,
+    since: Time,
+    by_probe: bool,
 }
 
 impl Suspicion {
     /// Nothing goes to a suspect but one request at a time, at the times of its trials.
     fn shut(&self, now: Time) -> bool {
-        self.on_trial || now < self.next_trial
+        self.by_probe && now.since(self.next_trial) < TRIAL_MOST || !self.due(now)
+    }
+
+    fn due(&self, now: Time) -> bool {
+        !self.on_trial && now >= self.next_trial
     }
 }
 
+#[derive(Default)]
 struct Server {
     listed: Listed,
     in_flight: u32,
@@ -246,23 +277,7 @@
 
 impl Server {
     fn new(listed: Listed, now: Time) -> Self {
-        Server {
-            listed,
-            in_flight: 0,
-            stretch: 1.0,
-            pace: 0.0,
-            failures: 0,
-            failing: 0.0,
-            last_answer: now,
-            limit: LIMIT_FIRST,
-            suspicion: None,
-            reported: 0.0,
-            reported_at: None,
-            sent_since: 0,
-            probed_at: None,
-            full_until: None,
-            gone_at: None,
-        }
+        Server { listed, last_answer: now, stretch: 1.0, limit: LIMIT_FIRST, ..Server::default() }
     }
 
     /// Its load by the last report or probe, and what was sent since.
@@ -272,6 +287,7 @@
 }
 
 /// The decisions of one client process about where, when and how often its requests are sent.
+#[derive(Default)]
 pub struct Balancer {
     settings: Settings,
     rng: fastrand::Rng,
@@ -282,7 +298,7 @@
     /// Those that the list says are serving.
     serving: Vec<usize>,
     live: BTreeMap<RequestId, Live>,
-    flights: BTreeMap<(RequestId, u32), Flight>,
+    flights: BTreeMap<Key, Flight>,
     /// Newest first within each rank.
     held: Vec<RequestId>,
     looking: Vec<Look>,
@@ -295,6 +311,12 @@
     tenant_asked: Vec<f64>,
     counted_at: Time,
     retries: f64,
+    /// Trials of suspects that are saved up.
+    trials: f64,
+    /// The aims of first tries in the last seconds, and how long they have been counted, in milliseconds.
+    wanted: f64,
+    counted: f64,
+    kinds: Kinds,
     /// Least time that a probe has taken, by zone: what is over that, it waited.
     round_trip: BTreeMap<ZoneId, Span>,
     ask_pause: Span,
@@ -309,25 +331,13 @@
         let classes = settings.classes.iter().cloned().map(Known::new);
         Ok(Balancer {
             rng: fastrand::Rng::with_seed(seed),
-            servers: Vec::new(),
-            index: BTreeMap::new(),
-            free: Vec::new(),
-            serving: Vec::new(),
-            live: BTreeMap::new(),
-            flights: BTreeMap::new(),
-            held: Vec::new(),
-            looking: Vec::new(),
-            memory: Vec::new(),
-            warm: BTreeMap::new(),
             classes: (0..).map(ClassId).zip(classes).collect(),
             tenant_asked: vec![0.0; settings.tenants.len()],
-            counted_at: Time(0),
             retries: RETRY_BURST,
-            round_trip: BTreeMap::new(),
+            trials: TRIAL_BURST,
             ask_pause: ASK_AGAIN,
-            ask_at: None,
-            tick_at: Time(0),
             settings,
+            ..Balancer::default()
         })
     }
 
@@ -353,7 +363,8 @@
                 if let Some(live) = self.live.get_mut(&request) {
                     live.spent |= spent;
                 }
-                self.outcome(now, (request, attempt.0), outcome, elapsed, report.as_deref(), closed, out);
+                let ended = (outcome, elapsed, report.as_deref());
+                self.outcome(now, (request, attempt.0), ended, closed, out);
             }
             Event::ClientGone { request } => {
                 self.live.remove(&request);
@@ -411,8 +422,6 @@
         self.index.values().filter(avoided).count()
     }
 
-    // ---- a request comes in -------------------------------------------------------------------------
-
     fn arrive(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
         let id = request.id;
         let Some(known) = self.classes.get_mut(&request.class) else {
@@ -435,15 +444,17 @@
         let spent = if alike { Span::ZERO } else { class.deadline.less(request.time_left) };
         let deadline = now + request.time_left;
         let wanted_by = (now + class.aim.less(spent)).min(deadline);
-        self.count(now, &request);
+        let aim = if alike { class.aim.ms() } else { 0.0 };
+        self.count(now, &request, aim);
         let over_share = self.over_share(&request);
-        let (attempts, max_attempts) = (Vec::new(), self.settings.max_attempts as usize);
-        let (bound, spent, picks) = (false, false, 0);
+        let (attempts, bound, spent, picks) = (Vec::new(), false, false, 0);
+        let max_attempts = self.settings.max_attempts as usize;
         let live =
             Live { request, deadline, wanted_by, attempts, bound, spent, max_attempts, over_share, picks };
         let hopeless = self.hopeless(now, &live);
         self.live.insert(id, live);
         self.retries = (self.retries + RETRY_EARN).min(RETRY_BURST);
+        self.trials = (self.trials + TRIAL_EARN).min(TRIAL_BURST);
         if hopeless {
             self.end(now, id, out);
         } else if !self.place(now, id, out) {
@@ -465,9 +476,11 @@
     }
 
     /// Keeps the traffic of the last seconds by tenant.
-    fn count(&mut self, now: Time, request: &Request) {
-        let keep = (-now.since(self.counted_at).ms() / COUNT_MS).exp();
+    fn count(&mut self, now: Time, request: &Request, aim: f64) {
+        let passed = if self.wanted == 0.0 { 0.0 } else { now.since(self.counted_at).ms() };
+        let keep = (-passed / COUNT_MS).exp();
         self.counted_at = now;
+        (self.wanted, self.counted) = (self.wanted * keep + aim, self.counted + passed);
         self.tenant_asked.iter_mut().for_each(|n| *n *= keep);
         if let Some(n) = request.tenant.and_then(|t| self.tenant_asked.get_mut(t.0)) {
             *n += 1.0;
@@ -530,14 +543,15 @@
         Lawful { send, refuse: refuse && !live.bound }
     }
 
-    // ---- the pick -----------------------------------------------------------------------------------
-
     /// Draws candidates for a request and sends it to the lightest, at once or after a look at them; false if
     /// no server is open to it.
     fn place(&mut self, now: Time, id: RequestId, out: &mut Vec<Action>) -> bool {
         if !self.live.contains_key(&id) {
             return true;
         }
+        if self.is_many() && self.is_full() {
+            return false;
+        }
         let candidates = self.candidates(now, id);
         self.look(now, id, &candidates, out) || self.choose(now, id, &candidates, out)
     }
@@ -591,7 +605,7 @@
         let (class, key) = (live.request.class, live.request.key.filter(|_| self.settings.warm_keys));
         let warm = key.and_then(|k| self.warm.get(&k)).copied();
         let heavy = (self.work(live) / self.usual(class)).clamp(1.0, 9.0).sqrt();
-        let Some(server) = self.lightest(now, candidates, warm, heavy) else { return false };
+        let Some(server) = self.lightest(now, candidates, (warm, heavy)) else { return false };
         self.remember(server, key);
         self.send(now, id, class, server, out);
         true
@@ -599,7 +613,31 @@
 
     /// One of many: this balancer's own counts tell next to nothing of what a server bears.
     fn is_light(&self) -> bool {
-        self.settings.probes && self.settings.balancers as usize > 2 * self.serving.len()
+        let cheap = self.settings.probes && self.settings.prices.probe <= LOOK_PRICE;
+        cheap && self.settings.balancers as usize > 2 * self.serving.len()
+    }
+
+    /// How many times as many balancers there are as could each act for itself; none where looks do better.
+    fn crowd(&self) -> f64 {
+        if self.is_light() {
+            1.0
+        } else {
+            (f64::from(self.settings.balancers) / MANY).max(1.0)
+        }
+    }
+
+    fn is_many(&self) -> bool {
+        self.crowd() > 1.0
+    }
+
+    /// Little's law: no more is out than comes in within the time that it should take, suspects left aside.
+    /// Where all balancers keep to it the fleet holds no more than it can answer in time, however few servers
+    /// are left.
+    fn is_full(&self) -> bool {
+        let trusted = self.servers.iter().filter(|s| s.suspicion.is_none());
+        let out: f64 = trusted.map(|s| f64::from(s.in_flight)).sum();
+        let window = COUNT_MS * (1.0 - (-self.counted.max(COUNT_LEAST_MS) / COUNT_MS).exp());
+        out >= OUT_LEAST + OUT_SHARE * self.wanted / window
     }
 
     fn is_known(&self, now: Time, server: usize) -> bool {
@@ -622,7 +660,14 @@
         let load = elapsed.less(*least).ms() / usual + if failed { PROBE_FAILED } else { 0.0 };
         let told = if s.reported_at == Some(now) { s.reported } else { 0.0 };
         (s.reported, s.reported_at, s.sent_since, s.probed_at) = (load.max(told), Some(now), 0, None);
-        let idle = s.reported < 0.5;
+        let (idle, well) = (s.reported < 0.5, !failed && s.reported < WELL);
+        if s.suspicion.as_ref().is_some_and(|q| q.by_probe && q.on_trial) {
+            // What became suspect in the same moment, as a zone does, may be back in the same moment.
+            let since = s.suspicion.as_ref().map(|q| q.since);
+            self.tried(now, server, well);
+            let alike = self.servers.iter_mut().filter_map(|s| s.suspicion.as_mut());
+            alike.filter(|q| well && Some(q.since) == since).for_each(|q| q.next_trial = now);
+        }
         let out_still = |&c: &usize| self.servers[c].probed_at.is_some();
         let over =
             |l: &&Look| l.candidates.contains(&server) && (idle || !l.candidates.iter().any(out_still));
@@ -653,7 +698,11 @@
                 let warmth = self.warmth(&self.servers[i], now);
                 let chance = warmth / draws as f64;
                 let shut = warmth < 1.0 && (!first || turn > 0 || self.rng.f64() >= chance);
-                if !shut && !tries.contains(&i) && self.open_to(now, id, i) {
+                // Where counts are zero the coin decides, which gives a slow machine as much as a quick one.
+                let slow = warmth == 1.0 && turn + 1 < DRAW_TRIES && self.is_many() && {
+                    self.rng.f64() >= self.kinds.chance(self.servers[i].listed.kind)
+                };
+                if !shut && !slow && !tries.contains(&i) && self.open_to(now, id, i) {
                     candidates.push(i);
                     break;
                 }
@@ -690,7 +739,14 @@
         lawful
             && s.listed.status == Status::Serving
             && self.has_room(now, server)
-            && !s.suspicion.as_ref().is_some_and(|q| q.shut(now))
+            && !s.suspicion.as_ref().is_some_and(|q| q.shut(now) || !self.may_try(now, q, live))
+    }
+
+    /// Many balancers make a trial only with what may be repeated, and seldom: all of them do.
+    fn may_try(&self, now: Time, q: &Suspicion, live: &Live) -> bool {
+        let fit = self.classes[&live.request.class].class.effect == Effect::Idempotent
+            || now.since(q.next_trial) > TRIAL_MOST;
+        !self.is_many() || fit && self.trials >= TRIAL_REQUEST
     }
 
     /// Room by the reported load or, where balancers are few, by the learned limit.
@@ -709,13 +765,8 @@
 
     /// The candidate with the least load: own requests in flight or, if light, what was told of it
     /// if that is more; scaled by a slow machine, a priced crossing, a key unknown there. A coin is last.
-    fn lightest(
-        &mut self,
-        now: Time,
-        candidates: &[usize],
-        warm: Option<usize>,
-        heavy: f64,
-    ) -> Option<usize> {
+    fn lightest(&mut self, now: Time, candidates: &[usize], it: (Option<usize>, f64)) -> Option<usize> {
+        let ((warm, heavy), many) = (it, self.is_many());
         let coins: Vec<u32> = candidates.iter().map(|_| self.rng.u32(..)).collect();
         let away = (1.0 + 100.0 * AWAY * self.settings.prices.cross_zone).clamp(1.0, AWAY_MOST);
         let key = |c: usize, coin: u32| {
@@ -729,7 +780,9 @@
             let load = f64::from(s.in_flight).max(told).max(out);
             let count = if s.suspicion.is_some() { 0.0 } else { load + 1.0 };
             let load = (count * far * (s.stretch * gain).powf(0.5 * heavy)).ln();
-            ((load / ALIKE).round() as i32, s.told().round() as i32, coin)
+            // Sends since a report that never comes would make many take turns, on slow and quick alike.
+            let since = if many { 0.0 } else { s.told().round() };
+            ((load / ALIKE).round() as i32, since as i32, coin)
         };
         candidates.iter().zip(coins).min_by_key(|&(&c, coin)| key(c, coin)).map(|(&c, _)| c)
     }
@@ -748,6 +801,7 @@
 
     fn send(&mut self, now: Time, id: RequestId, class: ClassId, server: usize, out: &mut Vec<Action>) {
         let in_time = self.is_light() && self.classes[&class].class.late_worth == 0.0;
+        let work = self.live.get(&id).map_or(0.0, |live| self.work(live));
         let Some(live) = self.live.get_mut(&id) else { return };
         if live.request.arriving {
             // No time runs for it until its last part has come; the caller sees to it that it goes on coming.
@@ -766,16 +820,15 @@
         let trial = match &mut s.suspicion {
             Some(q) => {
                 q.on_trial = true;
+                self.trials -= TRIAL_REQUEST;
                 true
             }
             None => false,
         };
-        self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, arriving });
+        self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, arriving, work });
         out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
     }
 
-    // ---- cold servers -------------------------------------------------------------------------------
-
     /// The share of its capacity that a server surely has.
     fn warmth(&self, s: &Server, now: Time) -> f64 {
         let Some(started) = s.listed.started else { return 1.0 };
@@ -805,19 +858,8 @@
         live.request.cost_hint.map_or_else(|| self.usual(live.request.class), Span::ms)
     }
 
-    // ---- what follows an outcome --------------------------------------------------------------------
-
-    #[allow(clippy::too_many_arguments)]
-    fn outcome(
-        &mut self,
-        now: Time,
-        key: (RequestId, u32),
-        outcome: Outcome,
-        elapsed: Span,
-        report: Option<&Report>,
-        closed: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn outcome(&mut self, now: Time, key: Key, ended: Ended, closed: bool, out: &mut Vec<Action>) {
+        let (outcome, elapsed, report) = ended;
         let Some(flight) = self.flights.remove(&key) else { return };
         self.servers[flight.server].in_flight -= u32::from(!flight.arriving);
         if let Some(report) = report {
@@ -902,7 +944,9 @@
             let Some(live) = self.live.get(&id) else { return false };
             let Known { class, pace, .. } = &self.classes[&live.request.class];
             let margin = (WAIT_MARGIN * pace).min(WAIT_MOST);
-            if self.hopeless(now, live) || now + class.aim * margin >= live.wanted_by {
+            let left = live.request.time_left * (1.0 - HOLD_MOST);
+            let long = self.is_many() && live.attempts.is_empty() && now + left >= live.deadline;
+            if long || self.hopeless(now, live) || now + class.aim * margin >= live.wanted_by {
                 self.end(now, id, out);
                 return false;
             }
@@ -911,8 +955,6 @@
         self.held = held;
     }
 
-    // ---- what is learned of servers -----------------------------------------------------------------
-
     fn learn(&mut self, now: Time, flight: &Flight, outcome: Outcome, elapsed: Span, out: &mut Vec<Action>) {
         let warmth = self.warmth(&self.servers[flight.server], now);
         let Some(known) = self.classes.get_mut(&flight.class) else { return };
@@ -940,6 +982,10 @@
             Outcome::ConnectFailed => s.failures += 1,
             _ => (s.failures, s.last_answer) = (s.failures + 1, now),
         }
+        let answered = matches!(outcome, Outcome::Success | Outcome::TimedOut | Outcome::Cancelled);
+        if answered && warmth == 1.0 && s.suspicion.is_none() {
+            self.kinds.learn(s.listed.kind, elapsed, flight.work);
+        }
         if warmth < 1.0 && matches!(outcome, Outcome::Rejected | Outcome::TimedOut) {
             s.full_until = Some(now + Span::from_ms(known.usual()) * (1.0 / warmth.max(0.01)));
         }
@@ -961,21 +1007,43 @@
             }
         }
         if flight.trial {
-            if outcome == Outcome::Success && used < 1.0 {
-                s.suspicion = None;
-                (s.pace, s.failures, s.stretch) = (share, 0, 1.0);
-            } else if let Some(q) = &mut s.suspicion {
-                q.on_trial = false;
-                q.pause = (q.pause * 2.0).min(TRIAL_MOST);
-                q.next_trial = now + q.pause;
+            let well = outcome == Outcome::Success && used < 1.0;
+            if well {
+                (s.pace, s.stretch) = (share, 1.0);
             }
-            return;
+            return self.tried(now, flight.server, well);
         }
-        if s.failures >= FAILURES && self.is_unusual(flight.server) {
-            self.suspect(now, flight.server, "failing", out);
+        let alone = s.in_flight == 0 && warmth == 1.0;
+        let failing = s.failures >= FAILURES && self.is_unusual(flight.server);
+        let why = match outcome {
+            // One of many believes the first sign: the next would come seconds later.
+            Outcome::ConnectFailed if self.is_many() => "unreachable",
+            Outcome::Rejected if self.is_many() && alone => "full",
+            _ if failing => "failing",
+            _ => return,
+        };
+        self.suspect(now, flight.server, why, out);
+    }
+
+    /// What a trial of a suspect has shown.
+    fn tried(&mut self, now: Time, server: usize, well: bool) {
+        let (most, jitter) = (TRIAL_MOST * self.crowd(), self.jitter());
+        let s = &mut self.servers[server];
+        if well {
+            (s.suspicion, s.failures) = (None, 0);
+        } else if let Some(q) = &mut s.suspicion {
+            q.on_trial = false;
+            q.pause = (q.pause * 2.0).min(most);
+            q.next_trial = now + q.pause * jitter;
         }
     }
 
+    /// Many balancers learn of a trouble in the same moment, and must not all come back in the same one.
+    fn jitter(&mut self) -> f64 {
+        let roll = if self.is_many() { self.rng.f64() } else { 0.5 };
+        0.75 + 0.5 * roll
+    }
+
     /// Whether a server's failures in a row are more than chance would bring from the better of the others:
     /// a cut that takes most of the fleet still leaves those.
     fn is_unusual(&self, server: usize) -> bool {
@@ -986,16 +1054,58 @@
         usual.powf(f64::from(self.servers[server].failures)) < FAILURES_CHANCE
     }
 
-    /// Takes a server out of the draw and out of memory, unless too many are out already.
+    /// Takes a server out of the draw and out of memory; with it the rest of its zone, if several there are
+    /// silent and none has answered since: what a lost building holds need not fail one by one, at each of
+    /// many balancers.
     fn suspect(&mut self, now: Time, server: usize, why: &str, out: &mut Vec<Action>) {
+        if !self.mark(now, server, why, out) {
+            return;
+        }
+        let zone = self.servers[server].listed.zone;
+        let (there, other): (Vec<usize>, Vec<usize>) =
+            self.serving.iter().partition(|&&i| self.servers[i].listed.zone == zone);
+        let heard = there.iter().map(|&i| self.servers[i].last_answer).max().unwrap_or_default();
+        let since = |&&i: &&usize| self.servers[i].suspicion.as_ref().is_some_and(|q| q.since > heard);
+        let lost = !other.is_empty() && there.iter().filter(since).count() >= ZONE_SILENT;
+        if lost && self.is_many() && matches!(why, "silent" | "unreachable") {
+            for i in there {
+                self.mark(now, i, "silent", out);
+            }
+        }
+    }
+
+    /// Makes one server suspect, unless it is or too many are; false if it was left as it is.
+    fn mark(&mut self, now: Time, server: usize, why: &str, out: &mut Vec<Action>) -> bool {
         let gone = self.serving.iter().filter(|&&i| self.servers[i].suspicion.is_some()).count();
+        let (crowd, jitter) = (self.crowd(), self.jitter());
+        let by_probe = self.is_many() && self.settings.probes && why != "failing";
         let s = &mut self.servers[server];
         if s.suspicion.is_some() || (gone + 1) as f64 > SUSPECT_SHARE * self.serving.len() as f64 {
-            return;
+            return false;
         }
-        s.suspicion = Some(Suspicion { next_trial: now + TRIAL_FIRST, pause: TRIAL_FIRST, on_trial: false });
+        let pause = TRIAL_FIRST * crowd;
+        let next_trial = now + pause * jitter;
+        s.suspicion = Some(Suspicion { next_trial, pause, on_trial: false, since: now, by_probe });
         self.memory.retain(|&m| m != server);
         out.push(Action::Log { text: format!("server {} {why}: suspect", s.listed.server.0) });
+        true
+    }
+
+    /// Probes the suspects whose trial is due, the longest due first, as far as probes are saved up.
+    fn probe_suspects(&mut self, now: Time, out: &mut Vec<Action>) {
+        let due = |i: &usize| {
+            let q = self.servers[*i].suspicion.as_ref().filter(|q| q.by_probe && q.due(now))?;
+            Some((q.next_trial, *i))
+        };
+        let mut due: Vec<_> = self.serving.iter().filter(|_| self.settings.probes).filter_map(due).collect();
+        due.sort_unstable();
+        for (_, i) in due.into_iter().take(self.trials as usize) {
+            let s = &mut self.servers[i];
+            s.suspicion.iter_mut().for_each(|q| q.on_trial = true);
+            s.probed_at = Some(now);
+            self.trials -= 1.0;
+            out.push(Action::Probe { server: s.listed.server });
+        }
     }
 
     fn read_report(&mut self, now: Time, server: usize, report: &Report) {
@@ -1009,8 +1119,6 @@
         }
     }
 
-    // ---- the list and the clock ---------------------------------------------------------------------
-
     fn list(&mut self, now: Time, update: ListUpdate, out: &mut Vec<Action>) {
         let (lines, complete) = match update {
             ListUpdate::Failed => {
@@ -1101,6 +1209,7 @@
         self.forget(now);
         self.forget_classes(now);
         self.find_silent(now, out);
+        self.probe_suspects(now, out);
         self.pump(now, out);
         self.set_tick(now, if self.held.is_empty() { TICK_IDLE } else { TICK_BUSY }, out);
     }
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -23,7 +23,9 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: RequestId(1), .. })));
 //! ```
 mod api;
+
 mod decide;
+mod kinds;
 
 pub use api::*;
 pub use decide::Balancer;
--- /dev/null
+++ b/crates/decision/tests/many.rs
@@ -0,0 +1,196 @@
+//! Guards what a balancer does that is one of a hundred: harmless for one, it would be harmful if all did otherwise.
+mod common;
+use common::*;
+use heronhoist_decision::*;
+
+const SERVERS: u32 = 60;
+const ZONES: u32 = 3;
+
+/// A hundred balancers, where a probe costs too much to look before each request.
+fn settings(balancers: u32, effect: Effect) -> Settings {
+    let prices = Prices { probe: 0.08, ..Prices::default() };
+    let report_fields = vec![ReportField::InFlight];
+    Settings {
+        balancers,
+        classes: vec![class(effect)],
+        probes: true,
+        cancel: true,
+        prices,
+        report_fields,
+        ..Settings::default()
+    }
+}
+
+/// A rig in which requests have come and been answered for a while, so that it knows its traffic.
+fn served(settings: Settings, seed: u64) -> Rig {
+    let mut rig = Rig::new(settings, seed);
+    rig.list(fleet(SERVERS, ZONES, 1));
+    for _ in 0..200 {
+        assert!(rig.ask_and_answer(30.0).is_some());
+        rig.wait(Span::from_ms(40.0));
+    }
+    rig
+}
+
+/// Requests one after the other to a fleet of which zone 2 is lost, as refused or silent; what of it was tried.
+fn lose_zone(rig: &mut Rig, requests: u32) -> (u32, u32) {
+    let (mut sent, mut probed) = (0, 0);
+    for _ in 0..requests {
+        let (id, mut server) = rig.ask(0);
+        let mut attempt = 0;
+        while let Some(to) = server {
+            let lost = to.0 % ZONES == 2;
+            let (outcome, ms) = if lost { (Outcome::ConnectFailed, 100.0) } else { (Outcome::Success, 30.0) };
+            sent += u32::from(lost);
+            let mut on_the_way = rig.wait(Span::from_ms(ms));
+            rig.answer(id, attempt, outcome, ms);
+            server = rig.sent_to(id);
+            attempt += 1;
+            on_the_way.extend(rig.wait(Span::from_ms(10.0)));
+            for action in on_the_way {
+                if let Action::Probe { server } = action {
+                    probed += 1;
+                    assert_eq!(server.0 % ZONES, 2, "only suspects are probed");
+                    rig.tell(Event::Probed {
+                        server,
+                        outcome: Outcome::TimedOut,
+                        elapsed: Span::from_ms(120.0),
+                        report: None,
+                    });
+                }
+            }
+        }
+    }
+    (sent, probed)
+}
+
+/// A building that is lost need not be learnt server by server: with 20 servers there each of a hundred balancers would
+/// give 20 requests for it, and more for every trial.
+#[test]
+fn a_lost_zone_is_believed_after_a_few_failures_and_tried_by_few_probes() {
+    for seed in 1..=5 {
+        let mut rig = served(settings(100, Effect::Idempotent), seed);
+        let (sent, probed) = lose_zone(&mut rig, 300);
+        assert!(sent <= 8, "seed {seed}: {sent} requests went to the lost zone");
+        assert!((1..=40).contains(&probed), "seed {seed}: {probed} probes for 300 requests");
+        rig.assert_rules();
+        let mut alone = served(settings(3, Effect::Idempotent), seed);
+        assert!(lose_zone(&mut alone, 300).0 > 20, "seed {seed}: few balancers learn by their own requests");
+    }
+}
+
+/// What became suspect together is looked at again together, and taken back.
+#[test]
+fn a_zone_that_is_back_is_taken_back_when_a_probe_finds_one_well() {
+    let mut rig = served(settings(100, Effect::Idempotent), 3);
+    lose_zone(&mut rig, 100);
+    assert!(rig.balancer.excluded(rig.now) >= 19);
+    let mut probes = 0;
+    for _ in 0..400 {
+        let (id, server) = rig.ask(0);
+        let actions = rig.wait(Span::from_ms(30.0));
+        if server.is_some() {
+            rig.answer(id, 0, Outcome::Success, 30.0);
+        }
+        for action in actions.into_iter().chain(rig.wait(Span::from_ms(40.0))) {
+            if let Action::Probe { server } = action {
+                probes += 1;
+                let (outcome, elapsed, report) = (Outcome::Success, Span::from_ms(1.0), Some(vec![0.0]));
+                rig.tell(Event::Probed { server, outcome, elapsed, report });
+            }
+        }
+    }
+    assert_eq!(rig.balancer.excluded(rig.now), 0, "after {probes} probes");
+    assert!(probes <= 30, "{probes} probes for 20 servers");
+}
+
+/// The one zone that there is is never taken as lost.
+#[test]
+fn a_fleet_in_one_zone_keeps_servers_whatever_fails() {
+    let mut rig = Rig::new(settings(100, Effect::Idempotent), 9);
+    rig.list(fleet(SERVERS, 1, 1));
+    for _ in 0..10 {
+        let (id, server) = rig.ask(0);
+        if server.is_some() {
+            rig.wait(Span::from_ms(100.0));
+            rig.answer(id, 0, Outcome::ConnectFailed, 100.0);
+        }
+    }
+    assert!(rig.balancer.excluded(rig.now) < 40, "{}", rig.balancer.excluded(rig.now));
+}
+
+/// Little's law: with a fleet that stops to answer, the hundred would fill it with all that comes; each keeps to what
+/// comes in within a part of its aim, and gives up the rest long before half of the client's time.
+#[test]
+fn what_is_out_stays_within_what_comes_in_and_the_rest_is_given_up_early() {
+    let mut rig = served(settings(100, Effect::Idempotent), 4);
+    let (mut out, mut refused) = (0, 0);
+    let mut asked = Vec::new();
+    for _ in 0..20 {
+        let (id, server) = rig.ask(0);
+        out += u32::from(server.is_some());
+        asked.push((id, rig.now));
+        for action in rig.wait(Span::from_ms(25.0)) {
+            if let Action::Refuse { request, .. } = action {
+                let came = asked.iter().find(|(id, _)| *id == request).map(|a| a.1).unwrap_or_default();
+                assert!(rig.now.since(came).ms() < 400.0, "held for too long");
+                refused += 1;
+            }
+        }
+    }
+    assert!(out <= 4, "{out} of 20 requests went out within 500 ms");
+    assert!(refused >= 4, "{refused} given up");
+    let mut few = served(settings(3, Effect::Idempotent), 4);
+    let all = (0..20).filter(|_| few.ask(0).1.is_some()).count();
+    assert_eq!(all, 20, "few balancers go by their counts");
+}
+
+/// Counts are zero nearly everywhere; without what is known of kinds the coin gives a slow machine as much as a quick one.
+#[test]
+fn a_kind_that_is_slow_gets_less_though_all_counts_are_zero() {
+    let kind = |line: Listed| Listed { kind: KindId(line.server.0 % 2), ..line };
+    let share = |balancers| {
+        let mut rig = Rig::new(settings(balancers, Effect::Idempotent), 8);
+        rig.list(fleet(SERVERS, 1, 1).into_iter().map(kind).collect());
+        let mut slow = 0;
+        for _ in 0..600 {
+            let (id, server) = rig.ask(0);
+            let Some(server) = server else { panic!("an idle fleet") };
+            let ms = if server.0 % 2 == 0 { 20.0 } else { 40.0 };
+            slow += server.0 % 2;
+            rig.wait(Span::from_ms(ms));
+            rig.answer(id, 0, Outcome::Success, ms);
+            rig.wait(Span::from_ms(20.0));
+        }
+        f64::from(slow) / 600.0
+    };
+    let (many, few) = (share(100), share(3));
+    assert!(many < 0.3 && few > 0.35, "{many} of many, {few} of few");
+}
+
+/// Only what may be repeated is given for a trial of a server that fails fast.
+#[test]
+fn what_must_not_run_twice_is_not_given_for_trials() {
+    let mut both = settings(100, Effect::Idempotent);
+    both.classes.push(class(Effect::AtMostOnce));
+    let mut rig = Rig::new(both, 6);
+    rig.list(fleet(6, 1, 1));
+    let sick = ServerId(0);
+    let mut lost = 0;
+    for n in 0..1500 {
+        let class = usize::from(n % 3 == 0);
+        let (id, mut server) = rig.ask(class);
+        let mut attempt = 0;
+        while let Some(to) = server {
+            let outcome = if to == sick { Outcome::ServerError } else { Outcome::Success };
+            lost += u32::from(to == sick && class == 1);
+            rig.wait(Span::from_ms(20.0));
+            rig.answer(id, attempt, outcome, 20.0);
+            server = rig.sent_to(id);
+            attempt += 1;
+        }
+        rig.wait(Span::from_ms(20.0));
+    }
+    assert!(lost <= 3, "{lost} certified copies were lost to a server known to fail");
+    rig.assert_rules();
+}
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -148,6 +148,7 @@
 /// A request that has attempts out or still owes its answer.
 struct Open<U: Upstream> {
     call: Rc<U::Call>,
+    class: ClassId,
     name: Option<Rc<[u8]>>,
     /// When the client stops waiting; `None` while more of the request is to come.
     deadline: Option<Instant>,
@@ -383,6 +384,7 @@
             core.next_request += 1;
             let open = Open {
                 call: Rc::clone(&call),
+                class,
                 name,
                 deadline,
                 budget,
@@ -433,7 +435,7 @@
         sent: Instant,
         ended: Ended<U::Answer>,
     ) {
-        let (closed, spent, since) = {
+        let (closed, spent, since, class) = {
             let mut core = self.0.core.borrow_mut();
             let Some(open) = core.open.get_mut(&id) else { return };
             open.out.retain(|(out, _)| *out != attempt);
@@ -446,12 +448,13 @@
                 Some(Coming::Whole(at)) => at.max(sent),
                 _ => sent,
             };
-            (open.reply.is_none(), spent, since)
+            (open.reply.is_none(), spent, since, open.class)
         };
         tracing::debug!(
             target: "heronhoist::attempt",
             pool = self.0.name,
             request = id.0,
+            class = class.0,
             attempt,
             server = server.0,
             outcome = ?ended.outcome,
@@ -610,13 +613,42 @@
                 None => Outcome::NotSent.into(),
             };
             let elapsed = Span(sent.elapsed().as_micros() as u64);
+            tracing::debug!(
+                target: "heronhoist::probe",
+                pool = pool.0.name,
+                server = server.0,
+                outcome = ?ended.outcome,
+                elapsed_us = elapsed.0,
+                report = ?ended.report,
+                "probe ended"
+            );
             pool.tell(Event::Probed { server, outcome: ended.outcome, elapsed, report: ended.report });
         });
     }
 
     fn take_list(&self, list: List<U::Address>) -> Vec<Listed> {
         let upstream = &self.0.upstream;
-        self.0.core.borrow_mut().servers.take(list, |server| upstream.close_idle(server))
+        let (version, whole) = (list.version, list.whole);
+        let told = tracing::enabled!(target: "heronhoist::membership", tracing::Level::DEBUG);
+        let named = list.members.iter().filter(|_| told);
+        let names: Vec<String> = named.map(|member| member.name.clone()).collect();
+        let lines = self.0.core.borrow_mut().servers.take(list, |server| upstream.close_idle(server));
+        for (line, name) in lines.iter().zip(names) {
+            let age_ms = line.started.map(|at| self.0.clock.now().since(at).ms() as u64);
+            tracing::debug!(
+                target: "heronhoist::membership",
+                pool = self.0.name,
+                version,
+                whole,
+                server = line.server.0,
+                name,
+                zone = line.zone.0,
+                status = ?line.status,
+                age_ms,
+                "server listed"
+            );
+        }
+        lines
     }
 }
 
