Give cold servers their whole part of the load where balancers are many

A cold server's roll is its warmth over the draws, since by counts it may win every pick it is drawn for; one of many holds zero counts, and it wins one pick in four. At fault: `chance` in `candidates`. Ruled out: limits of cold servers (their in-flight counts are zero too), late lists.

Change: where balancers are many the roll is the warmth itself; others as before.

The new test gives 0.22 of a warm one's load at a warmth of 0.3, and 0.08 without the change.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -678,7 +678,7 @@
     /// The remembered servers that are open to a request, and fresh uniform draws from all that are. One that
     /// it has tried comes in only if there is no other.
     fn candidates(&mut self, now: Time, id: RequestId) -> Vec<usize> {
-        let draws = if self.is_light() { DRAWS_LIGHT } else { DRAWS };
+        let (draws, many) = (if self.is_light() { DRAWS_LIGHT } else { DRAWS }, self.is_many());
         let Some(live) = self.live.get_mut(&id) else { return Vec::new() };
         live.picks += 1;
         let first = live.picks == 1;
@@ -693,13 +693,14 @@
         for _ in 0..draws {
             for turn in 0..DRAW_TRIES.min(self.serving.len()) {
                 let i = self.serving[self.rng.usize(0..self.serving.len())];
-                // All balancers together must not push a cold server over: even if it wins every pick it is
-                // drawn for, it gets its warmth's part of a warm one's load. What waits has no second roll.
+                // All balancers together must not push a cold server over: it gets its warmth's part of a
+                // warm one's load, even if it wins every pick it is drawn for; where many hold zero counts,
+                // it wins no more of them than others. What waits has no second roll.
                 let warmth = self.warmth(&self.servers[i], now);
-                let chance = warmth / draws as f64;
+                let chance = if many { warmth } else { warmth / draws as f64 };
                 let shut = warmth < 1.0 && (!first || turn > 0 || self.rng.f64() >= chance);
                 // Where counts are zero the coin decides, which gives a slow machine as much as a quick one.
-                let slow = warmth == 1.0 && turn + 1 < DRAW_TRIES && self.is_many() && {
+                let slow = warmth == 1.0 && turn + 1 < DRAW_TRIES && many && {
                     self.rng.f64() >= self.kinds.chance(self.servers[i].listed.kind)
                 };
                 if !shut && !slow && !tries.contains(&i) && self.open_to(now, id, i) {
--- a/crates/decision/tests/many.rs
+++ b/crates/decision/tests/many.rs
@@ -194,3 +194,30 @@
     assert!(lost <= 3, "{lost} certified copies were lost to a server known to fail");
     rig.assert_rules();
 }
+
+/// A hundred balancers together send a cold server its warmth's part of a warm one's load: no more, or they push it over,
+/// and not much less, or the warm ones bear what it could. Where counts are zero it wins one pick in four that it is
+/// drawn for, so the roll that holds for balancers which go by counts would leave it a quarter of its part.
+#[test]
+fn a_cold_server_gets_its_part_of_the_load_from_many() {
+    let (mut cold, mut warm, rounds) = (0.0, 0.0, 40);
+    for seed in 0..100 {
+        let mut set = settings(100, Effect::Idempotent);
+        (set.cold_share, set.warm_after) = (0.3, Span::from_ms(60_000.0));
+        let mut rig = Rig::new(set, seed);
+        let started = Some(rig.now);
+        let line = |line: Listed| Listed { started: started.filter(|_| line.server.0 < 12), ..line };
+        rig.list(fleet(SERVERS, ZONES, 1).into_iter().map(line).collect());
+        for _ in 0..rounds {
+            match rig.ask_and_answer(30.0) {
+                Some(server) if server.0 < 12 => cold += 1.0 / 12.0,
+                Some(_) => warm += 1.0 / 48.0,
+                None => panic!("an idle fleet"),
+            }
+            rig.wait(Span::from_ms(40.0));
+        }
+        rig.assert_rules();
+    }
+    let part: f64 = cold / warm;
+    assert!((0.2..=0.36).contains(&part), "{part} of a warm one's load at a warmth of 0.3");
+}
