Look through a zone only where balancers are many and a silence may mean it is lost

Reason: read once more, `suspect` sorted the fleet by zone, with two vectors, also for few balancers and for troubles that say nothing of a zone. Change: it asks first; decisions are the same.

--- a/crates/decision/src/decide.rs
+++ b/crates/decision/src/decide.rs
@@ -1059,7 +1059,7 @@
     /// silent and none has answered since: what a lost building holds need not fail one by one, at each of
     /// many balancers.
     fn suspect(&mut self, now: Time, server: usize, why: &str, out: &mut Vec<Action>) {
-        if !self.mark(now, server, why, out) {
+        if !self.mark(now, server, why, out) || !self.is_many() || matches!(why, "failing" | "full") {
             return;
         }
         let zone = self.servers[server].listed.zone;
@@ -1068,7 +1068,7 @@
         let heard = there.iter().map(|&i| self.servers[i].last_answer).max().unwrap_or_default();
         let since = |&&i: &&usize| self.servers[i].suspicion.as_ref().is_some_and(|q| q.since > heard);
         let lost = !other.is_empty() && there.iter().filter(since).count() >= ZONE_SILENT;
-        if lost && self.is_many() && matches!(why, "silent" | "unreachable") {
+        if lost {
             for i in there {
                 self.mark(now, i, "silent", out);
             }
