Draw from a part of the fleet of one's own where balancers are many; the module in ten rooms

Own counts by server are near zero over 174 to 191 servers, so the coin decides. At fault: candidates() drew from all of serving; is_full() let out the mean and not what chance brings.

Change, for more than ten balancers: draws come from a random part of the fleet (roster.rs, gather), as large as four servers and six for each request usually out, made up by warmth, with others for those that are lost; square-root staffing in is_full; a cold server's roll is its warmth over the three of four places it can win.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -292,7 +292,7 @@
     pub report_fields: Vec<ReportField>,
     /// What the list's weights mean.
     pub weights: Weights,
-    /// A server that met a key lately serves it for less work.
+    /// A server that met a key lately serves it for less work; the balancer makes no use of that.
     pub warm_keys: bool,
     /// Most attempts for one request.
     pub max_attempts: u32,
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -23,12 +23,10 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: RequestId(1), .. })));
 //! ```
 mod api;
-
-mod decide;
-mod kinds;
+mod policy;
 
 pub use api::*;
-pub use decide::Balancer;
+pub use policy::Balancer;
 
 /// Compiles and runs the example of the README with the tests.
 #[cfg(doctest)]
--- /dev/null
+++ b/crates/decision/src/policy/mod.rs
@@ -0,0 +1,217 @@
+//! Every decision of the balancer; its interface (settings, events, actions) is in `src/api.rs`.
+//!
+//! In the order of a request's life: `intake` takes it in, `draw` decides where it goes, `lawful` says what
+//! may still be done with it, `limits` learns from outcomes and decides what follows. `suspicion` looks after
+//! sick servers, `warmth` after cold ones, `accounts` after classes and tenants, `roster` after the list.
+//! Here is the state.
+mod accounts;
+mod draw;
+mod intake;
+mod kinds;
+mod lawful;
+mod limits;
+mod roster;
+mod suspicion;
+mod warmth;
+
+use crate::api::*;
+use accounts::*;
+use kinds::Kinds;
+use lawful::*;
+use limits::*;
+use roster::*;
+use std::collections::BTreeMap;
+use suspicion::*;
+
+/// How often the balancer looks around when it holds requests, and when it does not.
+const TICK_BUSY: Span = Span(10_000);
+const TICK_IDLE: Span = Span(50_000);
+const TICK: TimerId = TimerId(0);
+
+type Key = (RequestId, u32);
+
+/// How an attempt ended, after how long, with what report.
+type Ended<'a> = (Outcome, Span, Option<&'a Report>);
+
+/// The one record of an accepted request; it goes when the request has its final answer.
+struct Live {
+    request: Request,
+    deadline: Time,
+    /// After this an answer is worth nothing more, or less.
+    wanted_by: Time,
+    attempts: Vec<Attempt>,
+    bound: bool,
+    /// Part of it is not held any more.
+    spent: bool,
+    /// The attempts that the settings allowed when it came.
+    max_attempts: usize,
+    /// Its tenant had its share already; worth little if that is so.
+    over_share: bool,
+    /// Candidates were drawn for it before.
+    drawn: bool,
+}
+
+impl Live {
+    /// Its client's time begins now.
+    fn start_over(&mut self, now: Time, time_left: Span, aim: Span) {
+        self.deadline = now + time_left;
+        self.wanted_by = (now + aim).min(self.deadline);
+    }
+}
+
+/// An attempt that has not ended; it outlives its request if that ends first.
+struct Flight {
+    server: usize,
+    class: ClassId,
+    sent: Time,
+    trial: bool,
+    /// Its request is still arriving there: the server has no work with it yet.
+    arriving: bool,
+    work: f64, // milliseconds, guessed
+}
+
+#[derive(Default)]
+struct Server {
+    listed: Listed,
+    in_flight: u32,
+    /// Answer time over its class's usual, leaning to the quick ones: how slow the machine itself is.
+    stretch: f64,
+    /// Smoothed answer time as a share of the class's aim.
+    pace: f64,
+    failures: u32,
+    /// Smoothed share of its answers that are failures.
+    failing: f64,
+    last_answer: Time,
+    /// Own requests that it may hold.
+    limit: f64,
+    /// Its place in this balancer's own random order.
+    rank: u32,
+    suspicion: Option<Suspicion>,
+    /// Load by the last report, and what was sent since.
+    told: f64,
+    /// It was cold and turned one away or did not answer in time. That pushes it too, so it is left alone
+    /// until then, and then sent one request at a time until it has served one.
+    full_until: Option<Time>,
+    /// When the list first said that it has left.
+    gone_at: Option<Time>,
+}
+
+impl Server {
+    fn new(listed: Listed, rank: u32, now: Time) -> Self {
+        Server { listed, rank, last_answer: now, stretch: 1.0, limit: LIMIT_FIRST, ..Server::default() }
+    }
+}
+
+/// The decisions of one client process about where, when and how often its requests are sent.
+#[derive(Default)]
+pub struct Balancer {
+    settings: Settings,
+    rng: fastrand::Rng,
+    /// Those in `index`, and places of dropped ones that wait for others.
+    servers: Vec<Server>,
+    index: BTreeMap<ServerId, usize>,
+    free: Vec<usize>,
+    /// Those that the list says are serving.
+    serving: Vec<usize>,
+    /// Those of them that draws are made from.
+    near: Vec<usize>,
+    live: BTreeMap<RequestId, Live>,
+    flights: BTreeMap<Key, Flight>,
+    /// Newest first within each rank.
+    held: Vec<RequestId>,
+    memory: Vec<usize>,
+    /// The classes of the present settings, and earlier ones that requests may still name.
+    classes: BTreeMap<ClassId, Known>,
+    /// Traffic of the last seconds by tenant.
+    tenant_asked: Vec<f64>,
+    counted_at: Time,
+    retries: f64,
+    /// Trials of suspects that are saved up.
+    trials: f64,
+    /// The aims of first tries in the last seconds, and how long they have been counted, in milliseconds.
+    wanted: f64,
+    counted: f64,
+    kinds: Kinds,
+    ask_pause: Span,
+    ask_at: Option<Time>,
+    tick_at: Time,
+}
+
+impl Balancer {
+    /// A balancer for these settings; equal seeds and events give equal actions.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        let classes = settings.classes.iter().cloned().map(Known::new);
+        Ok(Balancer {
+            rng: fastrand::Rng::with_seed(seed),
+            classes: (0..).map(ClassId).zip(classes).collect(),
+            tenant_asked: vec![0.0; settings.tenants.len()],
+            retries: BURST,
+            trials: BURST,
+            ask_pause: ASK_AGAIN,
+            settings,
+            ..Balancer::default()
+        })
+    }
+
+    /// To be called once, before the first event.
+    pub fn start(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.settings.discovery == Discovery::OnRequest {
+            out.push(Action::Follow { active: true });
+        }
+        self.set_tick(now, TICK_IDLE, out);
+    }
+
+    /// Takes in what has happened by `now` and appends what is to be done about it.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Request(request) => self.arrive(now, request, out),
+            Event::FirstByte { request, attempt } => {
+                if let Some(live) = self.live.get_mut(&request) {
+                    live.bound = (attempt.0 as usize) < live.attempts.len();
+                }
+            }
+            Event::Arrived { request, time_left } => self.arrived(now, request, time_left),
+            Event::Outcome { request, attempt, outcome, elapsed, report, closed, spent } => {
+                if let Some(live) = self.live.get_mut(&request) {
+                    live.spent |= spent;
+                }
+                let ended = (outcome, elapsed, report.as_deref());
+                self.outcome(now, (request, attempt.0), ended, closed, out);
+            }
+            Event::ClientGone { request } => {
+                self.live.remove(&request);
+            }
+            Event::Timer(TICK) => self.tick(now, out),
+            Event::Timer(_) | Event::PeerMessage { .. } => {}
+            Event::Probed { server, outcome, elapsed, report } => {
+                let Some(&s) = self.index.get(&server) else { return };
+                self.probed(now, s, outcome != Outcome::Success, elapsed, report.as_deref());
+            }
+            Event::List(update) => self.list(now, update, out),
+            Event::Settings { settings, classes } => self.reconfigure(now, *settings, classes),
+        }
+    }
+
+    fn set_tick(&mut self, now: Time, after: Span, out: &mut Vec<Action>) {
+        self.tick_at = now + after;
+        out.push(Action::SetTimer { at: self.tick_at, timer: TICK });
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now < self.tick_at {
+            return;
+        }
+        if self.ask_at.is_some_and(|at| now >= at) {
+            self.ask_at = None;
+            out.push(Action::Follow { active: true });
+        }
+        self.forget(now);
+        self.forget_classes(now);
+        self.find_silent(now, out);
+        self.probe_suspects(now, out);
+        self.gather(now);
+        self.pump(now, out);
+        self.set_tick(now, if self.held.is_empty() { TICK_IDLE } else { TICK_BUSY }, out);
+    }
+}
--- /dev/null
+++ b/crates/decision/src/policy/roster.rs
@@ -0,0 +1,99 @@
+//! The list: which servers there are, by what the caller was told of them.
+use super::*;
+
+/// The servers that one of many draws from: at least as many as one pick compares, and so many more for each
+/// of its requests that is usually out.
+const NEAR_LEAST: f64 = 4.0;
+const NEAR_OUT: f64 = 6.0;
+/// Pause before the list is asked for again, doubled on each failure up to a quarter of what the site asks.
+pub(super) const ASK_AGAIN: Span = Span(200_000);
+
+impl Balancer {
+    pub(super) fn list(&mut self, now: Time, update: ListUpdate, out: &mut Vec<Action>) {
+        let (lines, complete) = match update {
+            ListUpdate::Failed => {
+                let jitter = 0.5 + self.rng.f64();
+                self.ask_at = Some(now + self.ask_pause * jitter);
+                self.ask_pause = (self.ask_pause * 2.0).min(self.settings.ask_within * 0.25);
+                return;
+            }
+            ListUpdate::Changes(lines) => (lines, false),
+            ListUpdate::Complete(lines) | ListUpdate::Saved(lines) => (lines, true),
+        };
+        self.ask_pause = ASK_AGAIN;
+        if complete {
+            for s in &mut self.servers {
+                s.listed.status = Status::Gone;
+            }
+        }
+        let many = self.is_many();
+        for line in lines {
+            let (server, rank) = (line.server, if many { self.rng.u32(..) } else { 0 });
+            match self.index.get(&server) {
+                Some(&i) => {
+                    let s = &mut self.servers[i];
+                    if line.started.is_some() && line.started != s.listed.started {
+                        // A new process: what was learned of the old one says nothing, and it is cold.
+                        let (in_flight, last_answer) = (s.in_flight, s.last_answer);
+                        *s = Server { in_flight, last_answer, ..Server::new(line, rank, now) };
+                    } else {
+                        s.listed = line;
+                    }
+                }
+                None => {
+                    let place = self.free.pop().unwrap_or(self.servers.len());
+                    self.index.insert(server, place);
+                    self.servers.resize_with(self.servers.len().max(place + 1), Server::default);
+                    self.servers[place] = Server::new(line, rank, now);
+                }
+            }
+        }
+        for s in &mut self.servers {
+            let gone = s.listed.status == Status::Gone;
+            s.gone_at = gone.then(|| s.gone_at.unwrap_or(now));
+        }
+        let servers = &self.servers;
+        self.serving = (0..servers.len()).filter(|&i| servers[i].listed.status == Status::Serving).collect();
+        self.memory.retain(|&m| servers[m].listed.status == Status::Serving);
+        self.gather(now);
+        self.pump(now, out);
+    }
+
+    /// Many balancers draw each from a random part of the fleet of its own, or connections would grow as
+    /// balancers times servers, and counts by server would be zero. The part grows with what is usually out
+    /// here, is made up by its servers' warmth, and takes in others for those that are lost.
+    pub(super) fn gather(&mut self, now: Time) {
+        self.near.clone_from(&self.serving);
+        if !self.is_many() {
+            return;
+        }
+        let mut near = std::mem::take(&mut self.near);
+        near.retain(|&i| self.servers[i].suspicion.as_ref().is_none_or(|q| !q.by_probe));
+        near.sort_unstable_by_key(|&i| self.servers[i].rank);
+        let mut room = NEAR_LEAST + NEAR_OUT * self.usual_out();
+        near.retain(|&i| {
+            let wanted = room > 0.0;
+            room -= self.warmth(&self.servers[i], now);
+            wanted
+        });
+        self.near = near;
+    }
+
+    /// Drops the servers that have left for good and that nothing refers to any more; one that is named
+    /// again starts afresh. Under ever new names they would fill the memory, and each look at the fleet
+    /// would take longer.
+    pub(super) fn forget(&mut self, now: Time) {
+        let grace = self.settings.drain_grace;
+        let over = |s: &Server| s.gone_at.is_some_and(|at| now.since(at) > grace);
+        let mut dropped: Vec<usize> =
+            self.index.values().copied().filter(|&i| over(&self.servers[i])).collect();
+        if dropped.is_empty() {
+            return;
+        }
+        let tried = |i: usize| self.live.values().any(|live| live.attempts.iter().any(|a| a.server == i));
+        let flown = |i: usize| self.flights.values().any(|flight| flight.server == i);
+        dropped.retain(|&i| !flown(i) && !tried(i));
+        self.index.retain(|_, i| !dropped.contains(i));
+        self.free.extend(dropped);
+    }
+}
