Play a hundred agents before sixty servers in the lab, and a planted lie that must fail

Need: the lab had no world of the size at which the users judge. Six scenarios (burst, release with discovery overbooked, a building lost and cold, six in ten replaced, late lists, rolling restarts) hold the agent to services, rules and connections a server; agents.balancers makes agents believe another number, which is the planted fault: as one of three each fails.

--- a/check.sh
+++ b/check.sh
@@ -15,6 +15,18 @@
 for scenario in herd zone-cut rolling-release; do
     lab run "scenarios/$scenario.toml" --seeds 1..2
 done
+# One of a hundred agents before sixty servers; and agents that take themselves for one of three (the planted fault).
+playing=""
+for scenario in burst release building replaced late-lists restarts; do
+    lab run "scenarios/fleet-$scenario.toml" --seeds 1 &
+    playing="$playing $!"
+done
+for one in $playing; do
+    wait "$one"
+done
+if lab run scenarios/fleet-burst.toml --seeds 1 --set agents.balancers=3; then
+    echo "the planted fault passed" && exit 1
+fi
 # What hunt has found stays mended.
 lab run scenarios/found/cold-and-full.toml --seeds 1064
 lab run scenarios/found/cold-and-late.toml --seeds 20061..20066
--- a/crates/lab/src/real.rs
+++ b/crates/lab/src/real.rs
@@ -421,7 +421,7 @@
     });
     let source = if settings.report_source == ReportSource::None { "silent" } else { "piggyback" };
     json!({
-        "balancers": scenario.agents, "zones": ["a"], "kinds": ["m"], "zone": 0, "discovery": "pushed",
+        "balancers": scenario.settings.balancers, "zones": ["a"], "kinds": ["m"], "zone": 0, "discovery": "pushed",
         "classes": classes.collect::<Vec<_>>(), "parties": parties.collect::<Vec<_>>(),
         "feedback": {"fields": ["inflight", "queue", "util"], "source": source},
         "limits": {"cancel": settings.cancel, "retryAfter": settings.retry_after, "probes": settings.probes,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -256,6 +256,7 @@
 
     let mut agents = reader.section(&mut root, "agents");
     let number = reader.get(&mut agents, "count", Absent::Fault, "how many agents", count);
+    let told = reader.get(&mut agents, "balancers", Absent::Nothing, "how many agents are told", count);
     let attempts = reader.get(&mut agents, "max_attempts", Absent::Default(3), "how many attempts", count);
     let copies = reader.get(&mut agents, "second_copies", Absent::Default(true), "true or false", flag);
     let cancel = reader.get(&mut agents, "cancel", Absent::Default(true), "true or false", flag);
@@ -275,7 +276,7 @@
     let (mixes, terms): (Vec<ClassMix>, Vec<Class>) = classes?.into_iter().unzip();
     let (fleet, tenants) = (fleet?, tenants?);
     let settings = Settings {
-        balancers: number? as u32,
+        balancers: told.or(number)? as u32,
         classes: terms,
         tenants: tenants.iter().map(|(_, tenant)| tenant.clone()).collect(),
         max_attempts: attempts? as u32,
