Bound what is out by what is answered, and notice slow servers within a few answers

At fault: usual_out counts the aims that come in, which clients that ask again raise as service sinks (intake.rs, is_full); and lean() gives a slower answer a weight of a hundredth (limits.rs), so that of few answers none shows.

Change, for more than ten balancers: the bound takes what is answered in place of what comes in, once 3 s have been counted; a server's slowness has a weight of 0.2.

Two tests in tests/many.rs, each seen to fail without its half.

--- a/crates/decision/src/policy/accounts.rs
+++ b/crates/decision/src/policy/accounts.rs
@@ -9,7 +9,7 @@
 /// How fast the least answer time gives way to slower ones: a network may have become slower.
 pub(super) const LEAST_GAIN: f64 = 0.002;
 /// Traffic is counted over about this many milliseconds, and over no less than the second.
-const COUNT_MS: f64 = 3000.0;
+pub(super) const COUNT_MS: f64 = 3000.0;
 const COUNT_LEAST_MS: f64 = 500.0;
 /// Of the aims that come in, the share that is usually out.
 const OUT_SHARE: f64 = 0.2;
@@ -83,6 +83,7 @@
         let keep = (-passed / COUNT_MS).exp();
         self.counted_at = now;
         (self.wanted, self.counted) = (self.wanted * keep + aim, self.counted + passed);
+        self.answered *= keep;
         self.tenant_asked.iter_mut().for_each(|n| *n *= keep);
         if let Some(n) = request.tenant.and_then(|t| self.tenant_asked.get_mut(t.0)) {
             *n += 1.0;
@@ -109,13 +110,9 @@
         self.classes.values().filter(|known| known.retired_at.is_none())
     }
 
-    pub(super) fn usual(&self, class: ClassId) -> f64 {
-        self.classes[&class].usual()
-    }
-
     /// A guess at a request's work: the hint, else the usual answer time of its class.
     pub(super) fn work(&self, live: &Live) -> f64 {
-        live.request.cost_hint.map_or_else(|| self.usual(live.request.class), Span::ms)
+        live.request.cost_hint.map_or_else(|| self.classes[&live.request.class].usual(), Span::ms)
     }
 }
 
--- a/crates/decision/src/policy/draw.rs
+++ b/crates/decision/src/policy/draw.rs
@@ -26,9 +26,11 @@
         }
         let (class, first) = (live.request.class, !std::mem::replace(&mut live.drawn, true));
         let candidates = self.candidates(now, id, first);
-        let heavy = (self.work(&self.live[&id]) / self.usual(class)).clamp(1.0, 9.0).sqrt();
+        let heavy = (self.work(&self.live[&id]) / self.classes[&class].usual()).clamp(1.0, 9.0).sqrt();
         let Some(server) = self.lightest(&candidates, heavy) else { return false };
-        self.remember(server);
+        self.memory.retain(|&m| m != server);
+        self.memory.insert(0, server);
+        self.memory.truncate(REMEMBERED);
         self.send(now, id, class, server, out);
         true
     }
@@ -117,12 +119,6 @@
         candidates.iter().zip(coins).min_by_key(|&(&c, coin)| key(c, coin)).map(|(&c, _)| c)
     }
 
-    pub(super) fn remember(&mut self, server: usize) {
-        self.memory.retain(|&m| m != server);
-        self.memory.insert(0, server);
-        self.memory.truncate(REMEMBERED);
-    }
-
     pub(super) fn send(
         &mut self,
         now: Time,
--- a/crates/decision/src/policy/intake.rs
+++ b/crates/decision/src/policy/intake.rs
@@ -72,12 +72,14 @@
         }
     }
 
-    /// Little's law with square-root staffing: no more is out than comes in within the time that it should
-    /// take and, since so few vary much by chance, the root of that; suspects are left aside. Where all
-    /// balancers keep to it the fleet holds no more than it can answer in time, however few servers are left.
+    /// Little's law with square-root staffing: no more is out than is answered within the time that it should
+    /// take and, as so few vary much by chance, the root of that; suspects are left aside. By what comes in
+    /// alone, with clients that ask again, a fleet that has fallen behind would be sent more and more.
     pub(super) fn is_full(&self) -> bool {
         let trusted = |f: &&Flight| !f.arriving && self.servers[f.server].suspicion.is_none();
-        let (out, usual) = (self.flights.values().filter(trusted).count() as f64, self.usual_out());
+        let answered = if self.counted < COUNT_MS { 1.0 } else { (self.answered / self.wanted).min(1.0) };
+        let (out, usual) =
+            (self.flights.values().filter(trusted).count() as f64, self.usual_out() * answered);
         self.is_many() && out >= OUT_LEAST + usual + usual.sqrt()
     }
 
@@ -147,7 +149,7 @@
             .serving
             .iter()
             .map(|&i| self.servers[i].suspicion.as_ref().map_or(Span::ZERO, |q| q.next_trial.since(now)));
-        let usual = Span::from_ms(self.usual(class));
+        let usual = Span::from_ms(self.classes[&class].usual());
         usual.max(trials.min().unwrap_or(usual)).min(self.settings.max_retry_after)
     }
 }
--- a/crates/decision/src/policy/limits.rs
+++ b/crates/decision/src/policy/limits.rs
@@ -4,6 +4,8 @@
 
 /// Weight of a new answer in a server's pace: about the last eight answers count.
 const PACE_GAIN: f64 = 0.12;
+/// Weight of a new answer in how slow one of many takes a server to be: it sees few from each.
+const STRETCH_MANY: f64 = 0.2;
 /// Weight of a new answer in a server's share of failures.
 const FAILING_GAIN: f64 = 0.05;
 /// What an answer past its aim leaves of a server's limit.
@@ -76,9 +78,9 @@
         if live.attempts.iter().any(|a| a.fate == Fate::Out) {
             return;
         }
-        let useful = !self.hopeless(now, live);
         // What was turned away pays too, or it would go round a fleet of full servers.
-        if self.lawful(live, now).send != Reach::Nowhere && useful && self.retries >= cost {
+        let lawful = self.lawful(live, now).send != Reach::Nowhere;
+        if lawful && !self.hopeless(now, live) && self.retries >= cost {
             self.retries -= cost;
             if !self.place(now, id, out) {
                 self.hold(now, id, out);
@@ -90,7 +92,7 @@
 
     pub(super) fn learn(&mut self, now: Time, flight: &Flight, ended: Ended, out: &mut Vec<Action>) {
         let (outcome, elapsed, _) = ended;
-        let warmth = self.warmth(&self.servers[flight.server], now);
+        let (warmth, many) = (self.warmth(&self.servers[flight.server], now), self.is_many());
         let Some(known) = self.classes.get_mut(&flight.class) else { return };
         let aim = known.class.aim.ms();
         let s = &mut self.servers[flight.server];
@@ -109,7 +111,13 @@
                 lean(&mut known.pace, used);
                 let slower = known.least + LEAST_GAIN * (used - known.least);
                 known.least = slower.min(used);
-                lean(&mut s.stretch, (used / known.pace.max(0.001)).clamp(0.05, 8.0));
+                self.answered += aim;
+                let stretch = (used / known.pace.max(0.001)).clamp(0.05, 8.0);
+                if many {
+                    s.stretch += STRETCH_MANY * (stretch - s.stretch);
+                } else {
+                    lean(&mut s.stretch, stretch);
+                }
             }
             // A full server is no sick one: it is only sent less.
             Outcome::Rejected => s.last_answer = now,
@@ -147,13 +155,11 @@
             }
             return self.tried(now, flight.server, well);
         }
-        let alone = s.in_flight == 0 && warmth == 1.0;
-        let failing = s.failures >= FAILURES && self.is_unusual(flight.server);
         let why = match outcome {
             // One of many believes the first sign: the next would come seconds later.
-            Outcome::ConnectFailed if self.is_many() => "unreachable",
-            Outcome::Rejected if self.is_many() && alone => "full",
-            _ if failing => "failing",
+            Outcome::ConnectFailed if many => "unreachable",
+            Outcome::Rejected if many && s.in_flight == 0 && warmth == 1.0 => "full",
+            _ if s.failures >= FAILURES && self.is_unusual(flight.server) => "failing",
             _ => return,
         };
         self.suspect(now, flight.server, why, out);
--- a/crates/decision/src/policy/mod.rs
+++ b/crates/decision/src/policy/mod.rs
@@ -128,8 +128,9 @@
     retries: f64,
     /// Trials of suspects that are saved up.
     trials: f64,
-    /// The aims of first tries in the last seconds, and how long they have been counted, in milliseconds.
+    /// The aims of first tries in the last seconds and of what was answered, and how long that is, in ms.
     wanted: f64,
+    answered: f64,
     counted: f64,
     kinds: Kinds,
     ask_pause: Span,
--- a/crates/decision/tests/many.rs
+++ b/crates/decision/tests/many.rs
@@ -307,3 +307,47 @@
         rig.wait(Span::from_ms(30.0));
     }
 }
+
+/// A fleet that has fallen behind is not sent as much as clients ask, who come again: no more is out than is answered
+/// in time, or it would stay behind.
+#[test]
+fn where_little_is_answered_little_is_let_out() {
+    for seed in 1..=5 {
+        let mut rig = Rig::new(Settings { max_attempts: 1, ..settings(100, Effect::Idempotent) }, seed);
+        rig.list(fleet(SERVERS, ZONES, 1));
+        for n in 0..400 {
+            let (id, server) = rig.ask(0);
+            assert!(server.is_some(), "nothing is out");
+            rig.wait(Span::from_ms(30.0));
+            let behind = n >= 200 && n % 5 != 0;
+            rig.answer(id, 0, if behind { Outcome::TimedOut } else { Outcome::Success }, 30.0);
+            rig.wait(Span::from_ms(10.0));
+        }
+        let out = (0..6).filter(|_| rig.ask(0).1.is_some()).count();
+        assert!((1..=2).contains(&out), "seed {seed}: {out} out, as many as when all was answered");
+    }
+}
+
+/// One of many sees few answers of each server: one that has become slow must show in these.
+#[test]
+fn a_server_that_becomes_slow_is_chosen_less_after_a_few_answers() {
+    for seed in 1..=5 {
+        let mut rig = served(settings(100, Effect::Idempotent), seed);
+        let mut share = |slow: Option<ServerId>| {
+            let mut sent = std::collections::BTreeMap::<ServerId, u32>::new();
+            for _ in 0..100 {
+                let (id, server) = rig.ask(0);
+                let server = server.expect("an idle fleet");
+                *sent.entry(server).or_default() += 1;
+                let ms = if Some(server) == slow { 120.0 } else { 30.0 };
+                rig.wait(Span::from_ms(ms));
+                rig.answer(id, 0, Outcome::Success, ms);
+                rig.wait(Span::from_ms(40.0));
+            }
+            sent
+        };
+        let (server, before) = share(None).into_iter().max_by_key(|(_, n)| *n).expect("servers");
+        let after = share(Some(server)).get(&server).copied().unwrap_or_default();
+        assert!(after * 3 < before, "seed {seed}: {after} of 100 when slow, {before} before");
+    }
+}
