Give servers their rank when they are first gathered, so that a reload to many spreads

Found in a second reading: list() drew ranks only where balancers were many already. Settings that grow from few balancers to many (SIGHUP) found servers that all had rank 0, so each balancer took the first of the list as its part. Seen by a test: 100 balancers, 60 servers, after such a reload 4,890 of 5,000 requests went to eight servers.

A rank is now drawn where parts are made, for whatever has none; the list knows nothing of it.

--- a/crates/decision/src/policy/mod.rs
+++ b/crates/decision/src/policy/mod.rs
@@ -84,8 +84,8 @@
     last_answer: Time,
     /// Own requests that it may hold.
     limit: f64,
-    /// Its place in this balancer's own random order.
-    rank: u32,
+    /// Its place in this balancer's own random order, once it has been gathered.
+    rank: Option<u32>,
     suspicion: Option<Suspicion>,
     /// Load by the last report, and what was sent since.
     told: f64,
@@ -97,8 +97,8 @@
 }
 
 impl Server {
-    fn new(listed: Listed, rank: u32, now: Time) -> Self {
-        Server { listed, rank, last_answer: now, stretch: 1.0, limit: LIMIT_FIRST, ..Server::default() }
+    fn new(listed: Listed, now: Time) -> Self {
+        Server { listed, last_answer: now, stretch: 1.0, limit: LIMIT_FIRST, ..Server::default() }
     }
 }
 
--- a/crates/decision/src/policy/roster.rs
+++ b/crates/decision/src/policy/roster.rs
@@ -26,16 +26,15 @@
                 s.listed.status = Status::Gone;
             }
         }
-        let many = self.is_many();
         for line in lines {
-            let (server, rank) = (line.server, if many { self.rng.u32(..) } else { 0 });
+            let server = line.server;
             match self.index.get(&server) {
                 Some(&i) => {
                     let s = &mut self.servers[i];
                     if line.started.is_some() && line.started != s.listed.started {
                         // A new process: what was learned of the old one says nothing, and it is cold.
                         let (in_flight, last_answer) = (s.in_flight, s.last_answer);
-                        *s = Server { in_flight, last_answer, ..Server::new(line, rank, now) };
+                        *s = Server { in_flight, last_answer, ..Server::new(line, now) };
                     } else {
                         s.listed = line;
                     }
@@ -44,7 +43,7 @@
                     let place = self.free.pop().unwrap_or(self.servers.len());
                     self.index.insert(server, place);
                     self.servers.resize_with(self.servers.len().max(place + 1), Server::default);
-                    self.servers[place] = Server::new(line, rank, now);
+                    self.servers[place] = Server::new(line, now);
                 }
             }
         }
@@ -65,6 +64,9 @@
     pub(super) fn gather(&mut self, now: Time) {
         let mut near = self.serving.clone();
         if self.is_many() {
+            for &i in &near {
+                self.servers[i].rank.get_or_insert_with(|| self.rng.u32(..));
+            }
             near.retain(|&i| self.servers[i].suspicion.as_ref().is_none_or(|q| !q.by_probe));
             near.sort_unstable_by_key(|&i| self.servers[i].rank);
             let mut room = NEAR_LEAST + NEAR_OUT * self.usual_out();
--- a/crates/decision/tests/many.rs
+++ b/crates/decision/tests/many.rs
@@ -351,3 +351,22 @@
         assert!(after * 3 < before, "seed {seed}: {after} of 100 when slow, {before} before");
     }
 }
+
+/// Settings that grow from few balancers to many find servers that were listed before: parts are each one's own all the
+/// same, or all would draw from the same few.
+#[test]
+fn balancers_that_become_many_do_not_all_draw_from_the_same_part() {
+    let mut all = [0_u32; SERVERS as usize];
+    for seed in 0..100 {
+        let mut rig = Rig::new(settings(3, Effect::Idempotent), seed);
+        rig.list(fleet(SERVERS, ZONES, 1));
+        let more = Box::new(settings(100, Effect::Idempotent));
+        rig.tell(Event::Settings { settings: more, classes: vec![ClassId(0)] });
+        for _ in 0..50 {
+            rig.wait(Span::from_ms(40.0));
+            all[rig.ask_and_answer(30.0).expect("an idle fleet").0 as usize] += 1;
+        }
+    }
+    let most = all.iter().max().copied().unwrap_or_default();
+    assert!(all.iter().all(|n| *n > 0) && most < 2 * 5000 / SERVERS, "{all:?}");
+}
