--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -1,6 +1,7 @@
 //! Judges a run from outside, by a ledger of what was offered, what ran and what was answered. It asks nothing of the
 //! program that it judges.
 
+use crate::memory::growth;
 use crate::world::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -103,6 +104,8 @@
     pub lines: u64,
     /// The most memory that an agent took, if that was measured.
     pub memory_mb: Option<f64>,
+    /// What the process held beside this ledger, in bytes, now and then, where that is looked at.
+    pub memory: Vec<(Micros, i64)>,
     /// Agents that ended by themselves.
     pub crashed: usize,
     /// How late the run itself was with what it had to do, at the worst hundredth.
@@ -167,6 +170,8 @@
     pub connections: Option<usize>,
     /// The most memory that an agent may take.
     pub memory_mb: Option<f64>,
+    /// By how much memory may grow over a run, as a share of what it is in the first third.
+    pub memory_growth: Option<f64>,
 }
 
 /// How the users were served: 1 is all requests within their aim.
@@ -253,6 +258,10 @@
     if holds.memory_mb.zip(ledger.memory_mb).is_some_and(|(most, took)| took > most) {
         count(Rule::Memory, 1);
     }
+    // A run that was to be looked at and was not has not held either.
+    if holds.memory_growth.is_some_and(|most| growth(&ledger.memory).is_none_or(|grew| grew > most)) {
+        count(Rule::Memory, 1);
+    }
     let came = |t: &&Try| t.advised.is_some_and(|due| t.at >= due && t.at <= due + ON_TIME);
     let on_time: Vec<&Try> = ledger.tries.iter().filter(came).filter(|t| !t.excused).collect();
     let sent_away =
@@ -376,6 +385,7 @@
             off: vec![Off { server: 1, version: 2, until: None }],
             most_open: 10,
             memory_mb: Some(8.0),
+            memory: (0..60).map(|n| (n, 1000)).collect(),
             ..Ledger::default()
         }
     }
@@ -388,6 +398,7 @@
         waits_kept: Some(0.9),
         connections: Some(10),
         memory_mb: Some(8.0),
+        memory_growth: Some(0.1),
     };
 
     fn broken(spoil: impl Fn(&mut Ledger)) -> Vec<Rule> {
@@ -420,6 +431,9 @@
         assert_eq!(broken(|l| l.crashed = 1), [Rule::Crash]);
         assert_eq!(broken(|l| l.most_open = 11), [Rule::Connections]);
         assert_eq!(broken(|l| l.memory_mb = Some(8.1)), [Rule::Memory]);
+        let grows = |l: &mut Ledger| l.memory.iter_mut().for_each(|(n, held)| *held += 5 * *n as i64);
+        assert_eq!(broken(grows), [Rule::Memory]);
+        assert_eq!(broken(|l| l.memory.clear()), [Rule::Memory], "nobody looked");
         assert_eq!(broken(|l| l.tries[50].answers[0].1 = Answer::Refused(None)), [Rule::Waits]);
         let early = |l: &mut Ledger| {
             l.tries[50].answers[0].1 = Answer::Refused(None);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod hunt;
 mod judge;
 mod load;
+mod memory;
 #[cfg(test)]
 mod planted;
 mod play;
--- /dev/null
+++ b/crates/lab/src/memory.rs
@@ -0,0 +1,83 @@
+//! Memory over a run in simulated time: what the process holds, less what the run itself writes down of what happens. What
+//! is left belongs to the agents and the models of servers, which hold what is under way; it must not grow with time.
+
+use crate::judge::Ledger;
+use crate::world::Micros;
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+use std::mem::size_of;
+
+/// The whole process's. Runs that are measured are played one at a time.
+#[global_allocator]
+static HEAP: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// So many looks at the memory are taken in a run, evenly.
+pub const LOOKS: u64 = 60;
+
+/// Counts from where it was begun.
+pub struct Meter(Region<'static, System>);
+
+impl Meter {
+    /// Begins to count.
+    pub fn begin() -> Self {
+        Meter(Region::new(HEAP))
+    }
+
+    /// Bytes that are held and were not when counting began.
+    pub fn held(&self) -> i64 {
+        let change = self.0.change();
+        change.bytes_allocated as i64 - change.bytes_deallocated as i64
+    }
+}
+
+fn of<T>(all: &Vec<T>) -> usize {
+    all.capacity() * size_of::<T>()
+}
+
+/// Bytes that a ledger takes.
+pub fn written(ledger: &Ledger) -> i64 {
+    let within = ledger.calls.iter().map(|call| of(&call.effects)).sum::<usize>()
+        + ledger.tries.iter().map(|t| of(&t.answers)).sum::<usize>()
+        + ledger.told.iter().map(of).sum::<usize>();
+    let all = of(&ledger.calls)
+        + of(&ledger.tries)
+        + of(&ledger.sends)
+        + of(&ledger.told)
+        + of(&ledger.off)
+        + of(&ledger.memory);
+    (within + all) as i64
+}
+
+/// By how much the last third of the looks lies over the first in the mean, as a share of the first; the first sixth, in
+/// which tables fill, is left out. `None` of too few looks.
+pub fn growth(looks: &[(Micros, i64)]) -> Option<f64> {
+    let settled = &looks[looks.len() / 6..];
+    let third = settled.len() / 3;
+    let mean = |part: &[(Micros, i64)]| part.iter().map(|(_, held)| *held as f64).sum::<f64>() / third as f64;
+    let (first, last) = (mean(settled.get(..third)?), mean(settled.get(settled.len() - third..)?));
+    (third > 0 && first > 0.0).then(|| last / first - 1.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn growth_is_that_of_the_last_third_over_the_first() {
+        let looks = |held: fn(i64) -> i64| (0..60).map(|n| (n as Micros, held(n))).collect::<Vec<_>>();
+        assert_eq!(growth(&looks(|_| 1000)), Some(0.0));
+        assert_eq!(growth(&looks(|n| if n < 10 { 1 } else { 1000 })), Some(0.0), "tables fill at first");
+        assert!(growth(&looks(|n| 1000 + n)).is_some_and(|share| (0.03..0.04).contains(&share)));
+        assert_eq!(growth(&[(0, 7)]), None);
+    }
+
+    /// What is written down is subtracted to the byte.
+    #[test]
+    fn a_ledger_is_counted_with_all_that_it_holds() {
+        let mut ledger = Ledger::default();
+        assert_eq!(written(&ledger), 0);
+        ledger.sends = Vec::with_capacity(10);
+        ledger.told = vec![Vec::with_capacity(3)];
+        assert_eq!(written(&ledger), 10 * 24 + 24 + 3 * 16);
+    }
+}
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -100,7 +100,11 @@
         let _alone = writing.lock().unwrap_or_else(|broken| broken.into_inner());
         means.out.as_ref().map_or(Ok(()), |out| record(false).write(out))
     };
+    let is_measured = jobs.iter().any(|job| job.scenario.holds.memory_growth.is_some());
     match means.mode {
+        Mode::Real if is_measured => {
+            return Err("hold.memory_growth: memory over a run is only looked at in simulated time".into());
+        }
         Mode::Real => {
             let program = agent(means.agent.as_deref())?;
             for (at, job) in jobs.iter().enumerate() {
@@ -121,7 +125,9 @@
             let next = AtomicUsize::new(0);
             let failed: Mutex<Option<String>> = Mutex::new(None);
             std::thread::scope(|scope| {
-                for _ in 0..means.threads.clamp(1, jobs.len().max(1)) {
+                // Memory is that of the whole process.
+                let threads = if is_measured { 1 } else { means.threads.clamp(1, jobs.len().max(1)) };
+                for _ in 0..threads {
                     scope.spawn(|| loop {
                         let at = next.fetch_add(1, Ordering::Relaxed);
                         let Some(job) = jobs.get(at).filter(|_| !INTERRUPTED.load(Ordering::Relaxed)) else {
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -55,6 +55,9 @@
     pub worst_push: f64,
     /// The most memory that an agent took, in real mode.
     pub memory_mb: Option<f64>,
+    /// What the process held beside what the run writes down, by milliseconds, where that is looked at.
+    #[serde(default)]
+    pub memory: Vec<(u64, i64)>,
     /// By class: what was served and in which time, from when each call was meant to be sent.
     pub classes: Vec<ClassTimes>,
     /// Second by second.
@@ -233,6 +236,7 @@
             lines: ledger.lines,
             worst_push,
             memory_mb: ledger.memory_mb,
+            memory: ledger.memory.iter().map(|(at, held)| (at / 1000, *held)).collect(),
             classes: classes.collect(),
             seconds_of: seconds_of.collect(),
             load,
--- a/crates/lab/src/registry.rs
+++ b/crates/lab/src/registry.rs
@@ -3,6 +3,7 @@
 
 use crate::world::Micros;
 use heronhoist_engine::State;
+use std::mem::size_of;
 
 /// A line of the list.
 #[derive(Debug, Clone, PartialEq)]
@@ -61,6 +62,14 @@
         }
     }
 
+    /// Bytes of what it remembers.
+    pub fn held(&self) -> usize {
+        let lines = self.lines.capacity() * size_of::<Line>();
+        let names = self.lines.iter().map(|line| line.name.capacity()).sum::<usize>();
+        let past = self.past.iter().map(|past| past.capacity() * size_of::<(i64, State)>()).sum::<usize>();
+        lines + names + past
+    }
+
     /// What the machine at this address did by this version.
     pub fn state(&self, server: usize, version: i64) -> State {
         let past = self.past.get(server).map_or(&[][..], Vec::as_slice);
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -25,6 +25,8 @@
     pub registry: Registry,
     /// How many agents there are.
     pub agents: usize,
+    /// A planted fault: agents keep so many bytes of each attempt for ever.
+    pub leak: usize,
     /// What each module is told.
     pub settings: Settings,
     /// Who asks.
@@ -263,6 +265,7 @@
     let probes = reader.get(&mut agents, "probes", Absent::Default(true), "true or false", flag);
     let reports = reader.get(&mut agents, "load_reports", Absent::Default(false), "true or false", flag);
     let advises = reader.get(&mut agents, "retry_after", Absent::Default(true), "true or false", flag);
+    let leak = reader.get(&mut agents, "leak_bytes", Absent::Default(0), "bytes", count);
     let grace = reader.get(&mut agents, "drain_grace_ms", Absent::Default(500_000), MS, ms);
     reader.end(agents);
 
@@ -271,7 +274,7 @@
     let tenants = tenants(reader, &mut root);
     let classes = classes(reader, &mut root);
     let servers = fleet.as_ref().map_or(usize::MAX, |fleet| fleet.servers);
-    let events = events(reader, &mut root, servers, number.unwrap_or(usize::MAX));
+    let events = events(reader, &mut root, servers, number.unwrap_or(usize::MAX), length.unwrap_or(0));
     reader.end(root);
     let (mixes, terms): (Vec<ClassMix>, Vec<Class>) = classes?.into_iter().unzip();
     let (fleet, tenants) = (fleet?, tenants?);
@@ -300,6 +303,7 @@
         fleet,
         registry: Registry { late: late?, lines_per_s: lines },
         agents: number?,
+        leak: leak?,
         settings,
         clients: clients?,
         classes: mixes,
@@ -395,8 +399,9 @@
     let (worst_class, waits_kept) = (least("worst_class"), least("waits_kept"));
     let connections = reader.get(&mut section, "connections_per_server", Absent::Nothing, "how many", count);
     let memory_mb = reader.get(&mut section, "memory_mb", Absent::Nothing, "megabytes", positive);
+    let memory_growth = reader.get(&mut section, "memory_growth", Absent::Nothing, "0 to 1", share);
     reader.end(section);
-    Holds { whole, worst_window, worst_class, waits_kept, connections, memory_mb }
+    Holds { whole, worst_window, worst_class, waits_kept, connections, memory_mb, memory_growth }
 }
 
 fn tenants<'t>(reader: &mut Reader<'t>, root: &mut Section<'t>) -> Option<Vec<(String, Tenant)>> {
@@ -488,6 +493,7 @@
     root: &mut Section<'t>,
     servers: usize,
     agents: usize,
+    length: Micros,
 ) -> Option<Vec<Event>> {
     let names: Vec<_> = KINDS.iter().map(|(name, ..)| *name).collect();
     let wanted = format!("one of {}", names.join(", "));
@@ -520,6 +526,8 @@
         // One after the other: the same again, so much later, for the next ones.
         let times = reader.get(&mut section, "times", Absent::Default(1), "how many times", count);
         let every = reader.get(&mut section, "every_ms", Absent::Default(1_000_000), MS, ms);
+        // Around and around instead, as long as the run is.
+        let wraps = reader.get(&mut section, "wraps", Absent::Default(false), "true or false", flag);
         if kind.is_some_and(|(what, _)| matches!(what, What::Pace(_))) && pace.is_none() {
             reader.fault(&section, "pace", "found nothing; wanted a factor above 0".into());
         }
@@ -528,7 +536,7 @@
         }
         let width = last.zip(first).map_or(1, |(last, first)| last.max(first) - first + 1);
         let beyond = |(times, first): (usize, usize)| at_one && first + times.saturating_mul(width) > most;
-        if times.zip(first).is_some_and(beyond) {
+        if wraps == Some(false) && times.zip(first).is_some_and(beyond) {
             reader.fault(&section, "times", format!("goes beyond the last of {most}"));
         }
         reader.end(section);
@@ -537,10 +545,12 @@
             What::Spoil(_) => What::Spoil(spoilt.unwrap_or(0.0)),
             other => other,
         });
-        let event = at.zip(what).zip(first).zip(times.zip(every));
-        events = events.zip(event).map(|(mut events, (((at, what), first), (times, every)))| {
+        let event = at.zip(what).zip(first).zip(times.zip(every).zip(wraps));
+        events = events.zip(event).map(|(mut events, (((at, what), first), ((times, every), wraps)))| {
+            let times = if wraps { (length.saturating_sub(at) / every) as usize + 1 } else { times };
             events.extend((0..times).map(|n| {
-                let from = first + n * width;
+                let from =
+                    if wraps { (first + n * width) % (most + 1 - width).max(1) } else { first + n * width };
                 let whom = if at_one { from..from + width } else { 0..0 };
                 Event { at: at + n as Micros * every, what, whom }
             }));
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -2,6 +2,7 @@
 //! in which they become ready, and every draw from a seed, so that a run can be repeated to the byte.
 
 use crate::judge::Answer;
+use crate::memory::{Meter, LOOKS};
 use crate::policy::{Plain, Policy, Reaches};
 use crate::record::{Mode, Run};
 use crate::scenario::{Scenario, What};
@@ -147,8 +148,10 @@
 struct Simulated {
     net: Rc<Net>,
     reports: bool,
-    /// Which server has which place in the module's list.
-    places: RefCell<HashMap<ServerId, usize>>,
+    /// Which server of the module's list is which machine, and in which life it was last met.
+    places: RefCell<HashMap<ServerId, (usize, u64)>>,
+    /// What the planted leak keeps.
+    leaked: RefCell<Vec<Vec<u8>>>,
 }
 
 impl Upstream for Simulated {
@@ -157,8 +160,11 @@
     type Answer = ();
 
     async fn attempt(&self, place: Place<usize>, call: &Ask, gate: Gate<'_>) -> Ended<()> {
-        self.places.borrow_mut().insert(place.server, place.address);
+        self.places.borrow_mut().insert(place.server, (place.address, place.life));
         let outcome = self.net.attempt(place.address, call, &|| gate.open()).await;
+        if self.net.world.scenario.leak > 0 {
+            self.leaked.borrow_mut().push(vec![0; self.net.world.scenario.leak]);
+        }
         let report = (self.reports && outcome == Outcome::Success).then(|| {
             let world = &self.net.world;
             world.servers.borrow_mut()[place.address].report(world.now()).to_vec()
@@ -189,12 +195,15 @@
     }
 
     fn close_idle(&self, server: ServerId) {
-        if let Some(server) = self.places.borrow().get(&server) {
+        if let Some((server, _)) = self.places.borrow().get(&server) {
             self.net.close(*server, Micros::MAX);
         }
     }
 
-    fn retire(&self, _: &dyn Fn(ServerId, u64) -> bool) {}
+    fn retire(&self, is_current: &dyn Fn(ServerId, u64) -> bool) {
+        // Servers that leave under ever new names are not kept. Another may have taken the machine's place by now.
+        self.places.borrow_mut().retain(|server, (_, life)| is_current(*server, *life));
+    }
 }
 
 /// Discovery as one agent hears it: late, through what room there is, and not at all while it is down.
@@ -318,6 +327,7 @@
                 net: Rc::clone(&net),
                 reports: world.scenario.settings.report_source != heronhoist_decision::ReportSource::None,
                 places: RefCell::default(),
+                leaked: RefCell::default(),
             },
             requests: Quota::alone(100_000),
         };
@@ -404,6 +414,18 @@
     }
 }
 
+/// Writes down, evenly over the run, what the process holds beside what the run itself writes down.
+fn look_at_memory(world: &Rc<World>) {
+    let (meter, world, pause) = (Meter::begin(), Rc::clone(world), world.scenario.length / (LOOKS + 1));
+    spawn_local(async move {
+        for look in 1..=LOOKS {
+            sleep_until(world.at(look * pause)).await;
+            let (now, held) = (world.now(), meter.held() - world.written());
+            world.ledger.borrow_mut().memory.push((now, held));
+        }
+    });
+}
+
 /// Plays a scenario with a seed; `progress` hears how far it has come.
 pub fn play(scenario: &Scenario, policy: Policy, seed: u64, progress: impl Fn(Micros)) -> Run {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
@@ -412,6 +434,9 @@
     let mut run = LocalSet::new().block_on(&runtime, async {
         let world = World::new(scenario, seed);
         world.drive();
+        if scenario.holds.memory_growth.is_some() {
+            look_at_memory(&world);
+        }
         let whole = match policy {
             Policy::Heronhoist => {
                 let engines = Engines::new(&world, seed);
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -13,6 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
+use std::mem::size_of;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -83,6 +84,8 @@
     paces: RefCell<Vec<f64>>,
     draws: RefCell<Pcg64>,
     next_job: Cell<Job>,
+    /// Bytes of the arrivals that were drawn ahead.
+    drawn: Cell<usize>,
 }
 
 impl World {
@@ -117,6 +120,7 @@
             paces: RefCell::new(paces),
             draws: RefCell::new(draws),
             next_job: Cell::new(0),
+            drawn: Cell::new(0),
             scenario: scenario.clone(),
         })
     }
@@ -402,6 +406,16 @@
         ledger
     }
 
+    /// Bytes of what is written down of the run, and of what was drawn ahead for it.
+    pub fn written(&self) -> i64 {
+        let load = self.load.borrow();
+        let load_bytes = load.capacity() * size_of::<(Micros, Vec<u32>)>()
+            + load.iter().map(|(_, by_server)| by_server.capacity() * size_of::<u32>()).sum::<usize>();
+        let work_bytes = self.work_of.borrow().capacity() * size_of::<Micros>();
+        crate::memory::written(&self.ledger.borrow())
+            + (load_bytes + work_bytes + self.drawn.get() + self.registry.borrow().held()) as i64
+    }
+
     /// The greatest push on a cold server, as a multiple of what it bears.
     pub fn worst_push(&self) -> f64 {
         self.servers.borrow().iter().map(|server| server.worst_push).fold(0.0, f64::max)
@@ -545,6 +559,7 @@
 ) -> bool {
     let scenario = world.scenario.clone();
     let arrivals = arrivals(&scenario, seed);
+    world.drawn.set(arrivals.capacity() * size_of::<Arrival>());
     let timeline = {
         let (world, carrier) = (Rc::clone(world), Rc::clone(carrier));
         let events = scenario.events.clone();
