--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -1,14 +1,17 @@
 //! Attempts and probes: a message out, what comes back told as an outcome.
 
 use crate::connections::{Connections, Lease, Place};
+use crate::dialect::{NEW, OLD};
 use crate::download::{Download, Origin};
 use crate::metrics::ClassCounters;
 use crate::patience::{Patience, SHORT};
 use crate::upload::{Coming, Outgoing, Payload, BODY_MOST, HELD_MOST};
 use crate::wire::View;
 use bytes::{Bytes, BytesMut};
-use heronhoist_decision::{Outcome, ServerId};
+use heronhoist_decision::{DialectId, Outcome, ServerId};
 use heronhoist_engine::{Arriving, Gate, Part, Portion, Upstream};
+use heronhoist_translate::wire::trouble::is_refusal;
+use heronhoist_translate::Mapping;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
@@ -46,6 +49,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Payload,
+    /// The same for servers of the old dialect, if it can be said to them.
+    pub old: Option<Box<Said>>,
     /// How long its client waits once all of it has come.
     pub budget: Duration,
     /// What counts its attempts; probes have none.
@@ -54,15 +59,35 @@
     pub _portion: Option<Portion>,
 }
 
+/// A request as servers of the old dialect get it.
+pub struct Said {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// How it was translated, and its answer will be; `None` if it is what the client sent.
+    pub by: Option<Rc<Mapping>>,
+}
+
 impl Call {
     /// Fewer bytes than this are certainly not the whole message; `None` while its length is not known.
-    fn least_bytes(&self) -> Option<u64> {
-        let headers: usize = self.headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
-        let body = match &self.body {
-            Payload::Held(bytes) => bytes.len() as u64,
-            Payload::Coming(upload) => upload.bytes()?,
+    fn least_bytes(&self, dialect: DialectId) -> Option<u64> {
+        let old = self.old.as_deref().filter(|_| dialect == OLD);
+        let (method, uri, headers) = match old {
+            Some(old) => (&old.method, &old.uri, &old.headers),
+            None => (&self.method, &self.uri, &self.headers),
         };
-        Some((self.method.as_str().len() + self.uri.path().len() + headers) as u64 + body)
+        let headers: usize = headers.iter().map(|(n, v)| n.as_str().len() + v.len()).sum();
+        let body = match (old, &self.body) {
+            (Some(old), _) => old.body.len() as u64,
+            (None, Payload::Held(bytes)) => bytes.len() as u64,
+            (None, Payload::Coming(upload)) => upload.bytes()?,
+        };
+        Some((method.as_str().len() + uri.path().len() + headers) as u64 + body)
     }
 }
 
@@ -72,6 +97,8 @@
     pub body: Content,
     /// What it is.
     pub content_type: Option<HeaderValue>,
+    /// What the server spoke.
+    pub dialect: DialectId,
 }
 
 /// The body of an answer.
@@ -177,6 +204,10 @@
 impl Inner {
     /// Sends one attempt or a probe.
     async fn attempt(&self, place: Place, call: &Call, gate: &Gate<'_>) -> Ended {
+        if place.dialect != NEW && call.old.is_none() {
+            // It speaks otherwise since this was decided.
+            return Outcome::NotSent.into();
+        }
         loop {
             let mut lease = match self.connections.lease(place).await {
                 Ok(lease) => lease,
@@ -191,10 +222,10 @@
             view.count_nothing();
             let counted = async {
                 // Of a long body nobody may know the length before its end.
-                if let (None, Some(upload)) = (call.least_bytes(), call.body.upload()) {
+                if let (None, Some(upload)) = (call.least_bytes(place.dialect), call.body.upload()) {
                     upload.ended().await;
                 }
-                if let Some(least) = call.least_bytes() {
+                if let Some(least) = call.least_bytes(place.dialect) {
                     view.count_at(before + least, call.counters.clone());
                 }
                 std::future::pending::<()>().await
@@ -202,11 +233,11 @@
             let answer = tokio::select! {
                 biased;
                 () = counted => Err(Spoilt::Answer),
-                answer = self.exchange(&mut lease, message(call, place.address, gate.until)) => answer,
+                answer = self.exchange(&mut lease, message(call, place, gate.until), place.dialect) => answer,
                 () = stuck(&view) => Err(Spoilt::Stuck),
             };
             let written = view.written() - before;
-            let is_whole = call.least_bytes().is_some_and(|least| written >= least);
+            let is_whole = call.least_bytes(place.dialect).is_some_and(|least| written >= least);
             let broken = call.body.upload().is_some_and(|upload| matches!(upload.state(), Coming::Broken(_)));
             self.connections.note(&lease, answer.is_err() && view.received() == received);
             match answer {
@@ -236,7 +267,12 @@
     }
 
     /// One request out and its answer in.
-    async fn exchange(&self, lease: &mut Lease, mut request: Request<Outgoing>) -> Result<Ended, Spoilt> {
+    async fn exchange(
+        &self,
+        lease: &mut Lease,
+        mut request: Request<Outgoing>,
+        dialect: DialectId,
+    ) -> Result<Ended, Spoilt> {
         let view = lease.view.clone();
         let sender = lease.sender().ok_or(Spoilt::Connection)?;
         // Answers 1xx come ahead of the one that counts, which may take its time after them.
@@ -247,7 +283,7 @@
         view.arm(ANSWER_MOST);
         let whole = async {
             let answer = sender.try_send_request(request).await.map_err(|_| Spoilt::Connection)?;
-            self.read(answer, &view).await
+            self.read(answer, &view, dialect).await
         };
         tokio::select! {
             biased;
@@ -258,7 +294,12 @@
 
     /// A short answer is read whole, so that a spoilt one is not passed on; a long one only as far as needed to tell
     /// that it is long.
-    async fn read(&self, answer: Response<Incoming>, view: &View) -> Result<Ended, Spoilt> {
+    async fn read(
+        &self,
+        answer: Response<Incoming>,
+        view: &View,
+        dialect: DialectId,
+    ) -> Result<Ended, Spoilt> {
         let (head, mut body) = answer.into_parts();
         let length = stated_length(head.status, &head.headers).ok_or(Spoilt::Answer)?;
         let held_most = length.unwrap_or(HELD_MOST as u64).min(HELD_MOST as u64) as usize;
@@ -287,7 +328,13 @@
             }
         }
         let report = head.headers.get("x-load-report").and_then(|v| self.report(v.as_bytes()));
-        let turned_away = head.headers.get("x-rejected").is_some_and(|v| v == "1");
+        let turned_away = match dialect {
+            OLD if head.status != StatusCode::OK => {
+                let begun: Vec<Bytes> = begun.iter().cloned().collect();
+                ended && is_refusal(head.status.as_u16(), &joined(begun, held))
+            }
+            _ => head.headers.get("x-rejected").is_some_and(|v| v == "1"),
+        };
         let outcome = match head.status {
             StatusCode::OK => Outcome::Success,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Rejected,
@@ -304,15 +351,29 @@
             view.lift_allowance();
             Content::Coming(Box::new(Download::new(begun, body, length, portion)))
         };
-        Ok(Ended { outcome, report, answer: Some(Served { body, content_type }) })
+        Ok(Ended { outcome, report, answer: Some(Served { body, content_type, dialect }) })
     }
 
     /// Asks a server how it is.
     pub async fn probe(&self, place: Place) -> Ended {
-        let uri = Uri::from_static(if self.has_reports.get() { "/stats" } else { "/health/live" });
+        // The old dialect has no such call: whatever answers is well.
+        let is_old = place.dialect == OLD;
+        let uri = Uri::from_static(match self.has_reports.get() {
+            _ if is_old => "/",
+            true => "/stats",
+            false => "/health/live",
+        });
         let (headers, body) = (HeaderMap::new(), Payload::Held(Bytes::new()));
         let (method, budget) = (Method::GET, PROBE_WAIT);
-        let call = Call { method, uri, headers, body, budget, counters: None, _portion: None };
+        let said = || Said {
+            method: Method::GET,
+            uri: uri.clone(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            by: None,
+        };
+        let old = is_old.then(|| Box::new(said()));
+        let call = Call { method, uri, headers, body, old, budget, counters: None, _portion: None };
         let until = Instant::now() + PROBE_WAIT;
         // Nothing but its time can stop a probe.
         let sent = Cell::new(false);
@@ -320,6 +381,9 @@
         let Ok(mut ended) = timeout_at(until, self.attempt(place, &call, &gate)).await else {
             return Outcome::TimedOut.into();
         };
+        if is_old && ended.outcome == Outcome::ServerError {
+            ended.outcome = Outcome::Success;
+        }
         if let Some(Served { body: Content::Held(text, _), .. }) = ended.answer.take() {
             ended.report = ended.report.or_else(|| self.report(&text));
         }
@@ -411,14 +475,25 @@
 }
 
 /// The message to a backend: the client's own, with the time that this attempt has.
-fn message(call: &Call, address: SocketAddr, until: Instant) -> Request<Outgoing> {
+fn message(call: &Call, place: Place, until: Instant) -> Request<Outgoing> {
+    let host = HeaderValue::from_str(&place.address.to_string());
+    if let Some(old) = call.old.as_deref().filter(|_| place.dialect == OLD) {
+        let mut request = Request::new(Payload::Held(old.body.clone()).outgoing());
+        *request.method_mut() = old.method.clone();
+        *request.uri_mut() = old.uri.clone();
+        *request.headers_mut() = old.headers.clone();
+        if let Ok(host) = host {
+            request.headers_mut().entry(HOST).or_insert(host);
+        }
+        return request;
+    }
     let mut request = Request::new(call.body.outgoing());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
     let left = until.saturating_duration_since(Instant::now()).min(call.budget).as_millis() as u64;
     request.headers_mut().insert("x-budget-ms", HeaderValue::from(left));
-    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+    if let Ok(host) = host {
         request.headers_mut().entry(HOST).or_insert(host);
     }
     request
@@ -449,6 +524,7 @@
             uri,
             headers,
             body: Payload::Held(vec![7; body].into()),
+            old: None,
             budget: Duration::from_secs(60),
             counters: None,
             _portion: None,
@@ -464,7 +540,7 @@
     }
 
     async fn gated(backends: &Inner, address: SocketAddr, body: usize, may_send: bool) -> Outcome {
-        let place = Place { server: ServerId(0), address, life: 0 };
+        let place = Place { server: ServerId(0), address, life: 0, dialect: NEW };
         let (sent, lawful) = (Cell::new(false), || may_send);
         let gate = Gate::new(&sent, &lawful, Instant::now() + Duration::from_secs(60));
         backends.attempt(place, &post(body), &gate).await.outcome
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -1,6 +1,7 @@
 //! What the agent is told at its start, by the environment and the file that it names.
 
 use crate::backend::HttpTerms;
+use crate::dialect::{NEW, OLD};
 use crate::discovery::ListReply;
 use crate::lanes::Room;
 use crate::log;
@@ -183,6 +184,7 @@
         },
         settings,
         members: Members::Discovery(discovery),
+        old_kinds: Vec::new(),
     };
     let routes = Table::new(Vec::new(), Some(0)).unwrap_or_default();
     let (classes, tenants) = (file.class_names(), file.tenant_names());
@@ -234,6 +236,7 @@
     let member = |server: &heronhoist_config::Server| Member {
         zone: server.zone.clone(),
         cell: server.cell,
+        dialect: if server.is_old { OLD } else { NEW },
         weight: Some(server.weight),
         state: match server.state {
             ServerState::Serving => State::Serving,
@@ -257,6 +260,7 @@
             }
             heronhoist_config::Membership::Platform(address) => Members::Discovery(address),
         },
+        old_kinds: pool.old_kinds.clone(),
     }
 }
 
--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Asks discovery for the list of backends: a watch on changes, and the whole list once.
 
+use crate::dialect::{NEW, OLD};
 use crate::wire::Wire;
 use bytes::Bytes;
 use heronhoist_decision::Time;
@@ -109,6 +110,7 @@
             zone: target.az,
             kind: target.model,
             cell: target.pod_group,
+            dialect: NEW,
             state: match target.state {
                 State::Serving => heronhoist_engine::State::Serving,
                 State::Draining => heronhoist_engine::State::Draining,
@@ -181,18 +183,20 @@
     pub source: watch::Receiver<SocketAddr>,
     /// The list is sent by itself.
     pub pushed: bool,
+    /// The kinds of machine that speak the old dialect.
+    pub old_kinds: Vec<String>,
 }
 
 impl Membership<SocketAddr> for Discovery {
     fn run(self: Box<Self>, feed: Feed<SocketAddr>) -> Pin<Box<dyn Future<Output = ()>>> {
         Box::pin(async move {
-            let Discovery { mut source, pushed } = *self;
+            let Discovery { mut source, pushed, old_kinds } = *self;
             if pushed {
                 feed.follow();
             }
             loop {
                 let address = *source.borrow_and_update();
-                let asking = Asking { feed: &feed, address };
+                let asking = Asking { feed: &feed, address, old_kinds: &old_kinds };
                 tokio::select! {
                     () = asking.watch(pushed) => return,
                     () = asking.fetch() => return,
@@ -210,9 +214,19 @@
 struct Asking<'a> {
     feed: &'a Feed<SocketAddr>,
     address: SocketAddr,
+    old_kinds: &'a [String],
 }
 
 impl Asking<'_> {
+    /// Hands a list over; false if it was older than the one that stands.
+    fn tell(&self, reply: ListReply) -> bool {
+        let mut list = List::from(reply);
+        for member in list.members.iter_mut().filter(|member| self.old_kinds.contains(&member.kind)) {
+            member.dialect = OLD;
+        }
+        self.feed.listed(list)
+    }
+
     /// Watches as long as the module follows the list. Where lists are pushed the watch is the push: it runs at
     /// all times, and a failure is no news to the module, which has asked for nothing.
     async fn watch(&self, pushed: bool) {
@@ -222,7 +236,7 @@
         while self.feed.version().is_none() {
             match timeout(MOVED_WAIT, call(self.address, &mut line, LIST_PATH)).await.ok().flatten() {
                 Some(list) => {
-                    self.feed.listed(ListReply { all: true, ..list }.into());
+                    self.tell(ListReply { all: true, ..list });
                 }
                 None => sleep(MOVED_PAUSE).await,
             }
@@ -240,7 +254,7 @@
             match answer {
                 Some(list) => {
                     let empty = Some(list.rev) == self.feed.version() && asked.elapsed() < EMPTY_PAUSE;
-                    let taken = self.feed.listed(list.into());
+                    let taken = self.tell(list);
                     if empty || !taken {
                         sleep(EMPTY_PAUSE).await;
                     }
@@ -261,7 +275,7 @@
             match timeout(ANSWER_WAIT, call(self.address, &mut None, LIST_PATH)).await.ok().flatten() {
                 // Left out if the watch has brought something newer meanwhile.
                 Some(list) => {
-                    self.feed.listed(list.into());
+                    self.tell(list);
                 }
                 None => self.feed.failed(),
             }
--- a/crates/agent/src/intake.rs
+++ b/crates/agent/src/intake.rs
@@ -4,7 +4,7 @@
 use crate::metrics::ClassCounters;
 use crate::seats::Seat;
 use crate::upload::{Broken, Payload, Source, Upload, BODY_MOST, HELD_MOST};
-use heronhoist_decision::{ClassId, Effect, KeyId, Span, TenantId};
+use heronhoist_decision::{ClassId, Dialects, Effect, KeyId, Span, TenantId};
 use heronhoist_engine::{Exchange, Part};
 use heronhoist_routes::Attributes;
 use http_body_util::BodyExt;
@@ -187,12 +187,13 @@
             uri,
             headers,
             body,
+            old: None,
             budget,
             counters: Some(Rc::clone(&class.counters)),
             _portion: Some(portion),
         };
-        let (name, class) = (Some(call_id.as_bytes().into()), class.id);
-        Ok(Exchange { call, name, class, tenant, key, cost_hint, repeat, budget, deadline })
+        let (name, class, dialects) = (Some(call_id.as_bytes().into()), class.id, Dialects::ALL);
+        Ok(Exchange { call, name, class, tenant, key, cost_hint, repeat, budget, deadline, dialects })
     }
 
     /// What the head alone shows: the class, the name, the client's time and the head's length.
--- a/crates/agent/src/lanes.rs
+++ b/crates/agent/src/lanes.rs
@@ -29,6 +29,7 @@
     /// The memory for bodies of its requests and answers.
     pub bodies: Rc<Part>,
     source: Source,
+    old_kinds: Vec<String>,
     /// The longest time to come back that its clients may be told; none where the settings don't let them be told.
     advice_most: Cell<Option<Span>>,
     /// The times of each class that has asked here.
@@ -59,6 +60,9 @@
 
     /// Takes over a plan of the same membership; false, and nothing changed, if the list comes from elsewhere now.
     fn revise(&self, plan: &PoolPlan, ids: &[ClassId]) -> bool {
+        if self.old_kinds != plan.old_kinds {
+            return false;
+        }
         match (&self.source, &plan.members) {
             (Source::Discovery(source), Members::Discovery(address)) => {
                 source.send_if_modified(|old| std::mem::replace(old, *address) != *address);
@@ -170,7 +174,10 @@
             Members::Discovery(address) => {
                 let (tell, source) = watch::channel(*address);
                 let pushed = plan.settings.discovery == Heard::Pushed;
-                (Source::Discovery(tell), Box::new(Discovery { source, pushed }))
+                (
+                    Source::Discovery(tell),
+                    Box::new(Discovery { source, pushed, old_kinds: plan.old_kinds.clone() }),
+                )
             }
             Members::Fixed(members) => {
                 let (tell, told) = watch::channel(members.clone());
@@ -205,6 +212,7 @@
         }
         spawn_local(pool.clone().run(membership));
         let advice_most = Cell::new(advice_most(&plan.settings));
-        Rc::new(Lane { pool, bodies, source, advice_most, times: RefCell::default() })
+        let old_kinds = plan.old_kinds.clone();
+        Rc::new(Lane { pool, bodies, source, old_kinds, advice_most, times: RefCell::default() })
     }
 }
--- a/crates/agent/src/legacy.rs
+++ b/crates/agent/src/legacy.rs
@@ -1,13 +1,14 @@
 //! Clients of the old dialects: their requests as the servers' own, and the answers in their form.
 
-use crate::backend::{joined, Call, Content, Served};
+use crate::backend::{joined, Call, Said};
+use crate::dialect::{plan, NEW, OLD, SOAP_ACTION};
 use crate::intake::{check_end, discard, fault_of, Catalogue, Class, CALL_ID, IDEMPOTENCY_KEY};
 use crate::lanes::Lane;
 use crate::seats::Seat;
 use crate::upload::{Payload, Source, HELD_MOST};
 use bytes::Bytes;
 use heronhoist_decision::Effect;
-use heronhoist_engine::{Exchange, Portion};
+use heronhoist_engine::Exchange;
 use heronhoist_translate::mapping::Form;
 use heronhoist_translate::wire::trouble::{Told, Trouble};
 use heronhoist_translate::{Limits, Mapping, Mappings, Notice, Part, Side};
@@ -153,10 +154,20 @@
     if is_query && held > 0 {
         return Err(wrong("a query has no body"));
     }
-    let bytes = if is_query { head.uri.query().unwrap_or_default().as_bytes() } else { &bytes };
-    let message = mapping.old.decode(Part::Request, bytes, Limits::default()).map_err(wrong)?;
-    let done = mapping.convert(Part::Request, Side::Old, &message).map_err(|why| wrong(why.to_string()))?;
-    let out = mapping.new.encode(Part::Request, &done.message).map_err(wrong)?;
+    let said = if is_query { head.uri.query().unwrap_or_default().as_bytes() } else { &bytes };
+    let message = mapping.old.decode(Part::Request, said, Limits::default()).map_err(wrong)?;
+    let new = mapping.convert(Part::Request, Side::Old, &message).map_err(|why| why.to_string());
+    let new = new.and_then(|done| Ok((mapping.new.encode(Part::Request, &done.message)?, done.notices)));
+    let serving = lane.pool.dialects();
+    let loses = new.as_ref().ok().map(|(_, notices)| !notices.is_empty());
+    let dialects = plan(loses, serving);
+    let (out, notices) = match new {
+        Ok((out, notices)) if dialects.has(NEW) => (out, notices),
+        // It goes to old servers only, as it is.
+        _ if dialects.has(OLD) => (Vec::new(), Vec::new()),
+        Ok(_) => (Vec::new(), Vec::new()),
+        Err(why) => return Err(wrong(why)),
+    };
     drop(portion);
 
     let key = mapping.key(&message);
@@ -169,12 +180,28 @@
         return Err(wrong("the fields that tell repeats apart are missing"));
     }
     let key = key.filter(|_| is_keyed);
-    let portion = lane.bodies.take(out.len()).ok_or_else(no_room)?;
+    let old = dialects.has(OLD).then(|| as_it_came(&head, bytes));
+    let held = out.len() + old.as_ref().map_or(0, |old| old.body.len());
+    let portion = lane.bodies.take(held).ok_or_else(no_room)?;
     let name = format!("{:032x}", fastrand::u128(..));
     let exchange = exchange(&mapping, &class, &head.headers, &name, key, out);
     let mut exchange = exchange.ok_or_else(|| wrong("its path or a header can't be written"))?;
     exchange.call._portion = Some(portion);
-    Ok(Translated { exchange, class, notices: done.notices })
+    exchange.call.old = old.map(Box::new);
+    exchange.dialects = dialects;
+    Ok(Translated { exchange, class, notices })
+}
+
+/// An old request for old servers: nothing of it is changed.
+fn as_it_came(head: &Parts, body: Bytes) -> Said {
+    let mut headers = HeaderMap::with_capacity(3);
+    for name in [HOST, CONTENT_TYPE, SOAP_ACTION] {
+        if let Some(value) = head.headers.get(&name) {
+            headers.insert(name, value.clone());
+        }
+    }
+    let uri = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
+    Said { method: head.method.clone(), uri, headers, body, by: None }
 }
 
 /// The request as the servers' protocol has it.
@@ -212,6 +239,7 @@
         uri: uri.parse::<Uri>().ok()?,
         headers,
         body: Payload::Held(body),
+        old: None,
         budget,
         counters: Some(Rc::clone(&class.counters)),
         _portion: None,
@@ -219,28 +247,6 @@
     Some(Exchange { name: Some(name.as_bytes().into()), ..Exchange::new(call, class.id, budget) })
 }
 
-/// A server's answer in an old client's form.
-pub struct Answer {
-    /// The body.
-    pub body: Bytes,
-    /// The memory that the server's held.
-    pub portion: Portion,
-    /// What was lost.
-    pub notices: Vec<Notice>,
-}
-
-/// Turns a server's answer into the client's form. One that can't be said there may have run, and is a failure.
-pub fn answer(mapping: &Mapping, served: Served) -> Result<Answer, Trouble> {
-    let failed = |why: String| Trouble::Failed(format!("Its answer has no counterpart: {why}"));
-    let Content::Held(bytes, portion) = served.body else {
-        return Err(failed(format!("it is longer than {HELD_MOST} bytes")));
-    };
-    let message = mapping.new.decode(Part::Answer, &bytes, Limits::default()).map_err(failed)?;
-    let done = mapping.convert(Part::Answer, Side::New, &message).map_err(|why| failed(why.to_string()))?;
-    let bytes = mapping.old.encode(Part::Answer, &done.message).map_err(failed)?;
-    Ok(Answer { body: bytes.into(), portion, notices: done.notices })
-}
-
 /// What a client is told of losses, if there were any.
 pub fn notice(notices: &[Notice]) -> Option<HeaderValue> {
     let all: Vec<String> = notices.iter().map(ToString::to_string).collect();
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -5,6 +5,7 @@
 mod cli;
 mod config;
 mod connections;
+mod dialect;
 mod discovery;
 mod download;
 mod gauge;
--- a/crates/agent/src/plan.rs
+++ b/crates/agent/src/plan.rs
@@ -36,6 +36,8 @@
     pub http: HttpTerms,
     /// Who says which servers there are.
     pub members: Members,
+    /// The kinds of machine that speak the old dialect, where discovery tells the kinds.
+    pub old_kinds: Vec<String>,
 }
 
 /// Where a pool's list comes from.
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -2,15 +2,17 @@
 
 use crate::backend::{Call, Content, Served};
 use crate::config::Front;
+use crate::dialect::{self, OLD};
 use crate::download::Download;
 use crate::gauge::{Gauge, Ticket};
 use crate::intake::{check_end, fault_of, Catalogue, Checked, Fault};
 use crate::lanes::{Lane, Lanes};
-use crate::legacy::{self, Answer, Asked, Translated};
+
+use crate::legacy::{self, Asked, Translated};
 use crate::metrics::{ClassCounters, Metrics, Outcome, Times};
 use crate::ops::Shown;
 use crate::seats::{End, Seat, Seats};
-use crate::upload::{Broken, Coming};
+use crate::upload::{Broken, Coming, HELD_MOST};
 use crate::wire::Wire;
 use bytes::Bytes;
 use heronhoist_config::Protocol;
@@ -18,7 +20,7 @@
 use heronhoist_engine::{Declined, Exchange, Final, Portion};
 use heronhoist_routes::{Attributes, Table};
 use heronhoist_translate::wire::trouble::{Told, Trouble};
-use heronhoist_translate::Mappings;
+use heronhoist_translate::{Mapping, Mappings, Notice, Side};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
@@ -261,7 +263,7 @@
         let counters = Rc::clone(&checked.class.counters);
         let lane = serving.lane(&front.name, &checked);
         let answer = match &lane {
-            Some(lane) => self.read_and_pass_on(seat, &serving.catalogue, lane, checked).await,
+            Some(lane) => self.read_and_pass_on(seat, &serving, lane, checked).await,
             None => {
                 checked.discard();
                 Err((StatusCode::NOT_FOUND, "no route leads from here"))
@@ -280,13 +282,14 @@
     async fn read_and_pass_on(
         &self,
         seat: &Rc<Seat>,
-        catalogue: &Catalogue,
+        serving: &Serving,
         lane: &Lane,
         checked: Checked,
     ) -> Result<Response<Reply>, Fault> {
         let class = Rc::clone(&checked.class);
         let times = lane.times(&self.metrics, &class.name);
-        let exchange = catalogue.read(seat, &lane.bodies, checked).await?;
+        let mut exchange = serving.catalogue.read(seat, &lane.bodies, checked).await?;
+        dialect::also_old(&serving.mappings, &mut exchange, lane.pool.dialects());
         let upload = exchange.call.body.upload().map(Rc::clone);
         let answer = self.pass_on(seat, lane, (&class.name, &times), exchange).await;
         if let Some(rest) = upload.and_then(|upload| upload.give_up()) {
@@ -336,31 +339,55 @@
         let carried = self.carry(seat, &lane, (&class.name, &times), exchange).await;
         let answer = match carried {
             Err(declined) => Err(Trouble::Refused(lane.advice(declined).map(Into::into))),
+            // An old server's answer is the client's own.
+            Ok((Final::Served(served), in_flight)) if served.dialect == OLD => {
+                Ok((reply(seat, served, in_flight), Vec::new()))
+            }
             Ok((Final::Served(served), _)) => {
-                legacy::answer(&mapping, served).inspect_err(|_| self.metrics.untranslated(&mapping.name))
+                self.translated(&mapping, Side::New, served).map_err(Trouble::Failed)
             }
             Ok((Final::Refused(after), _)) => Err(Trouble::Refused(after.map(Into::into))),
             Ok((Final::OutOfTime, _)) => Err(Trouble::Failed("Its time is up.".into())),
             Ok((Final::Failed | Final::Unfinished, _)) => Err(Trouble::Failed(String::new())),
         };
         let mut answer = match answer {
-            Ok(Answer { body, portion, notices: more }) => {
+            Ok((answer, more)) => {
                 notices.extend(more);
-                let mut answer = Response::new(Reply::Held(Full::new(body), Some(portion)));
-                let kind = mapping.old.answers.content_type(mapping.old.charset);
-                answer
-                    .headers_mut()
-                    .extend(HeaderValue::try_from(kind).ok().map(|kind| (CONTENT_TYPE, kind)));
                 answer
             }
             Err(trouble) => word(&trouble),
         };
+        self.tell_losses(&mapping, &notices, &mut answer);
+        match answer.body_mut() {
+            Reply::Passing(passing) => passing.counters = Some(Rc::clone(&class.counters)),
+            Reply::Held(..) => class.counters.end(outcome_of(answer.status())),
+        }
+        answer
+    }
+
+    /// The answer of a server of one side in the form of the other, with what was lost.
+    fn translated(
+        &self,
+        mapping: &Mapping,
+        from: Side,
+        served: Served,
+    ) -> Result<(Response<Reply>, Vec<Notice>), String> {
+        let done = dialect::answer(mapping, from, served, HELD_MOST);
+        let done = done.inspect_err(|_| self.metrics.untranslated(&mapping.name));
+        let dialect::Translated { body, portion, notices } =
+            done.map_err(|why| format!("Its answer has no counterpart: {why}"))?;
+        let mut answer = Response::new(Reply::Held(Full::new(body), Some(portion)));
+        let to = mapping.dialect(from.other());
+        let kind = HeaderValue::try_from(to.answers.content_type(to.charset));
+        answer.headers_mut().extend(kind.ok().map(|kind| (CONTENT_TYPE, kind)));
+        Ok((answer, notices))
+    }
+
+    fn tell_losses(&self, mapping: &Mapping, notices: &[Notice], answer: &mut Response<Reply>) {
         self.metrics.lost(&mapping.name, notices.len());
-        if let Some(notice) = legacy::notice(&notices) {
+        if let Some(notice) = legacy::notice(notices) {
             answer.headers_mut().insert(legacy::NOTICE, notice);
         }
-        class.counters.end(outcome_of(answer.status()));
-        answer
     }
 
     /// Hands a request to its pool, and waits for the final answer; what counts it as under way comes with it.
@@ -414,33 +441,23 @@
         exchange: Exchange<Call>,
     ) -> Result<Response<Reply>, Fault> {
         let upload = exchange.call.body.upload().map(Rc::clone);
+        // Only what could go to an old server can come back from one.
+        let mapping = exchange.call.old.as_ref().and_then(|old| old.by.clone());
         let (answer, in_flight) = match self.carry(seat, lane, of, exchange).await {
             Ok(carried) => carried,
             Err(Declined::NameInUse) => return Err((StatusCode::CONFLICT, "X-Call-Id is in use")),
             Err(declined) => return Ok(refused(lane.advice(declined))),
         };
         Ok(match answer {
-            Final::Served(served) => {
-                let body = match served.body {
-                    Content::Held(bytes, portion) => Reply::Held(Full::new(bytes), Some(portion)),
-                    Content::Coming(download) => {
-                        let (seat, counters) = (Rc::clone(seat), None);
-                        seat.pass_on();
-                        Reply::Passing(Passing {
-                            download,
-                            seat,
-                            counters,
-                            whole: false,
-                            _in_flight: in_flight,
-                        })
-                    }
-                };
-                let mut answer = Response::new(body);
-                if let Some(kind) = served.content_type {
-                    answer.headers_mut().insert(CONTENT_TYPE, kind);
-                }
-                answer
+            Final::Served(served) if served.dialect == OLD => {
+                let done = mapping.ok_or_else(String::new).and_then(|mapping| {
+                    let (mut answer, notices) = self.translated(&mapping, Side::Old, served)?;
+                    self.tell_losses(&mapping, &notices, &mut answer);
+                    Ok(answer)
+                });
+                done.unwrap_or_else(|_| plain(StatusCode::BAD_GATEWAY, "its answer has no counterpart"))
             }
+            Final::Served(served) => reply(seat, served, in_flight),
             Final::Refused(retry_after) => refused(retry_after),
             Final::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
             Final::OutOfTime => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
@@ -452,6 +469,23 @@
     }
 }
 
+/// A server's answer as it came.
+fn reply(seat: &Rc<Seat>, served: Served, in_flight: Option<Ticket>) -> Response<Reply> {
+    let body = match served.body {
+        Content::Held(bytes, portion) => Reply::Held(Full::new(bytes), Some(portion)),
+        Content::Coming(download) => {
+            let (seat, counters) = (Rc::clone(seat), None);
+            seat.pass_on();
+            Reply::Passing(Passing { download, seat, counters, whole: false, _in_flight: in_flight })
+        }
+    };
+    let mut answer = Response::new(body);
+    if let Some(kind) = served.content_type {
+        answer.headers_mut().insert(CONTENT_TYPE, kind);
+    }
+    answer
+}
+
 /// The body of an answer.
 enum Reply {
     /// All of it, and the memory that it holds.
--- a/crates/agent/tests/loopback/legacy.rs
+++ b/crates/agent/tests/loopback/legacy.rs
@@ -2,7 +2,7 @@
 use crate::common::*;
 use std::path::PathBuf;
 
-const CLASSES: &str = r#"
+pub const CLASSES: &str = r#"
 [[class]]
 name = "lookup"
 effect = "idempotent"
@@ -21,16 +21,16 @@
 aim_ms = 5000
 deadline_ms = 10000
 "#;
-const OBSERVED: &str =
+pub const OBSERVED: &str =
     "{\"station\":{\"id\":\"KMIA\",\"name\":\"Miami\"},\"observations\":[{\"at\":\"2026-06-01T04:30:15Z\",\
     \"temperature_c\":25,\"wind_m_s\":5.14,\"quality\":\"good\"}]}";
-const APPLIED: &str =
+pub const APPLIED: &str =
     "{\"status\":\"applied\",\"revision\":7,\"applied_at\":\"2026-12-01T13:05:09Z\",\"links\":{\"self\":\"/r/7\"}}";
-const ORDERED: &str =
+pub const ORDERED: &str =
     "{\"order\":9,\"pages\":12,\"fee\":{\"amount\":36.00,\"currency\":\"USD\"},\"ready_on\":\"2026-12-04\"}";
 
 /// The worked mapping files, in a folder of the test's own.
-fn mappings() -> PathBuf {
+pub fn mappings() -> PathBuf {
     let (from, to) =
         (concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/translate"), folder().join("translate"));
     std::fs::create_dir_all(&to).unwrap();
@@ -52,7 +52,7 @@
     )
 }
 
-fn records() -> Backend {
+pub fn records() -> Backend {
     Backend::new(|message| match message.path().split('?').next() {
         Some("/lookup") => ok(OBSERVED),
         Some("/correction") => ok(APPLIED),
@@ -68,13 +68,13 @@
     format!("POST {path} HTTP/1.1\r\nHost: old\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
-fn correction(number: u32) -> String {
+pub fn correction(number: u32) -> String {
     let body =
         format!("DESK=0042&NUM={number}&STN=KTPA&OBSDT=202612010805&WHAT=R&RAIN=1.50&URGENT=Y&CLERK=Ann");
     post("/desk/correct.cgi", "Content-Type: application/x-www-form-urlencoded\r\n", &body)
 }
 
-fn order(fields: &str) -> String {
+pub fn order(fields: &str) -> String {
     let body = format!(
         "<s:Envelope xmlns:s=\"http://schemas.xmlsoap.org/soap/envelope/\"><s:Body><m:OrderCopies xmlns:m=\"urn:desk:copies:1\">\
          {fields}</m:OrderCopies></s:Body></s:Envelope>"
@@ -84,7 +84,7 @@
     post("/desk/copies.asmx", headers, &body)
 }
 
-const ORDER: &str = "<CaseNo>7</CaseNo><Station>K</Station><FirstDay>01.02.2026</FirstDay><LastDay>02.02.2026</LastDay>\
+pub const ORDER: &str = "<CaseNo>7</CaseNo><Station>K</Station><FirstDay>01.02.2026</FirstDay><LastDay>02.02.2026</LastDay>\
     <Copies>1</Copies><Sealed>no</Sealed><Court><Name>x</Name></Court><Party><Name>a</Name><Role>P</Role></Party>";
 
 #[test]
--- a/crates/agent/tests/loopback/main.rs
+++ b/crates/agent/tests/loopback/main.rs
@@ -7,6 +7,7 @@
 mod legacy;
 mod limits;
 mod lists;
+mod mixed;
 mod ops;
 mod outcomes;
 mod pools;
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -94,6 +94,8 @@
     pub connect_timeout: Duration,
     /// A server closes a connection that has stood idle this long.
     pub keepalive: Duration,
+    /// The kinds of machine that speak the old dialect, where discovery tells the kinds.
+    pub old_kinds: Vec<String>,
 }
 
 /// Who says which servers a pool has.
@@ -120,6 +122,8 @@
     pub state: ServerState,
     /// Its size among the others.
     pub weight: f64,
+    /// It speaks the old dialect of the mapping files.
+    pub is_old: bool,
 }
 
 /// What a static server does.
@@ -383,6 +387,11 @@
     if platform == Some(false) && discovery.is_some() {
         reader.fault(section, "discovery", "found an address; a static pool asks nobody".into());
     }
+    let old_kinds = reader.get(section, "old_kinds", Absent::Default(Vec::new()), "a list of kinds", texts);
+    if platform == Some(false) && old_kinds.as_ref().is_some_and(|kinds| !kinds.is_empty()) {
+        let what = "found kinds; a static pool's servers say dialect = \"old\" themselves".into();
+        reader.fault(section, "old_kinds", what);
+    }
     let pushed = reader.get(section, "discovery_pushed", Absent::Default(false), "true or false", flag);
     let sections = reader.sections(section, "server");
     match (platform, sections.is_empty()) {
@@ -490,7 +499,16 @@
     }
     let membership = if platform? { Membership::Platform(discovery?) } else { Membership::Static };
     let (connect_timeout, keepalive) = (connect_timeout?.into(), keepalive?.into());
-    Some(Pool { name: String::new(), settings, zones, membership, servers, connect_timeout, keepalive })
+    Some(Pool {
+        name: String::new(),
+        settings,
+        zones,
+        membership,
+        servers,
+        connect_timeout,
+        keepalive,
+        old_kinds: old_kinds?,
+    })
 }
 
 fn server<'t>(reader: &mut Reader<'t>, section: &mut Section<'t>) -> Option<Server> {
@@ -501,8 +519,11 @@
     let serving = Absent::Default(ServerState::Serving);
     let state = reader.get(section, "state", serving, "\"serving\" or \"draining\"", one_of(states));
     let weight = reader.get(section, "weight", Absent::Default(1.0), "a size above 0", positive);
-    let (name, address) = (String::new(), place?);
-    Some(Server { name, address, zone: zone?, cell: cell?, state: state?, weight: weight? })
+    let dialects = &[("new", false), ("old", true)];
+    let is_old =
+        reader.get(section, "dialect", Absent::Default(false), "\"new\" or \"old\"", one_of(dialects));
+    let (name, address, is_old) = (String::new(), place?, is_old?);
+    Some(Server { is_old, name, address, zone: zone?, cell: cell?, state: state?, weight: weight? })
 }
 
 fn fronts<'t>(
--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -439,6 +439,42 @@
     Gone,
 }
 
+/// What a server speaks, by a number that the caller gives it; 0 where all speak alike.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct DialectId(pub u8);
+
+/// The dialects that a request can be said in, of the first 32.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Dialects(u32);
+
+impl Dialects {
+    /// Any.
+    pub const ALL: Dialects = Dialects(u32::MAX);
+    /// None.
+    pub const NONE: Dialects = Dialects(0);
+
+    /// This one, and no other.
+    pub fn only(dialect: DialectId) -> Self {
+        Dialects::NONE.with(dialect)
+    }
+
+    /// This one too.
+    #[must_use]
+    pub fn with(self, dialect: DialectId) -> Self {
+        Dialects(self.0 | 1_u32.checked_shl(u32::from(dialect.0)).unwrap_or(0))
+    }
+
+    /// Whether there is one in both.
+    pub fn meets(self, other: Dialects) -> bool {
+        self.0 & other.0 != 0
+    }
+
+    /// Whether this one is among them.
+    pub fn has(self, dialect: DialectId) -> bool {
+        self.0 & Dialects::only(dialect).0 != 0
+    }
+}
+
 /// A line of the server list.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Listed {
@@ -450,6 +486,8 @@
     pub kind: KindId,
     /// Its cell.
     pub cell: CellId,
+    /// What it speaks.
+    pub dialect: DialectId,
     /// Its status.
     pub status: Status,
     /// Its size among the others; see [`Settings::weights`].
@@ -472,6 +510,7 @@
             zone: ZoneId(0),
             kind: KindId(0),
             cell: CellId(0),
+            dialect: DialectId(0),
             status: Status::Serving,
             weight: 1.0,
             started: None,
@@ -511,6 +550,8 @@
     pub time_left: Span,
     /// Its last part is still to come: it can be sent on meanwhile, but no server starts on it yet.
     pub arriving: bool,
+    /// It is sent to servers only that speak one of these.
+    pub dialects: Dialects,
 }
 
 impl Request {
@@ -525,6 +566,7 @@
             repeat: false,
             time_left,
             arriving: false,
+            dialects: Dialects::ALL,
         }
     }
 }
--- a/crates/decision/src/policy/draw.rs
+++ b/crates/decision/src/policy/draw.rs
@@ -79,8 +79,7 @@
                 candidates.push(pool[self.rng.usize(0..pool.len())]);
             }
         }
-        // Cold ones do not stand in for full warm ones: they would get all that those cannot take. For
-        // suspect ones they do, each with its roll for no more than its part.
+        // Cold ones stand in for suspect warm ones, each with its roll; for full ones they get too much.
         let stands = |&i: &usize| self.servers[i].suspicion.is_none() && !self.is_cold(now, i);
         if self.serving.iter().any(stands) && candidates.iter().all(|&i| self.is_cold(now, i)) {
             candidates.clear();
@@ -88,7 +87,7 @@
         candidates
     }
 
-    /// Whether a server may be sent a request now: by rules, list, room and suspicion.
+    /// Whether a server may be sent a request now: by rules, list, dialect, room and suspicion.
     pub(super) fn open_to(&self, now: Time, id: RequestId, server: usize) -> bool {
         let (s, live) = (&self.servers[server], &self.live[&id]);
         let lawful = match self.lawful(live, now).send {
@@ -99,6 +98,7 @@
         };
         lawful
             && s.listed.status == Status::Serving
+            && live.request.dialects.has(s.listed.dialect)
             && self.has_room(now, server)
             && !s.suspicion.as_ref().is_some_and(|q| q.shut(now) || !self.may_try(now, q, live))
     }
--- a/crates/decision/src/policy/lawful.rs
+++ b/crates/decision/src/policy/lawful.rs
@@ -34,7 +34,7 @@
 }
 
 impl Balancer {
-    /// What the rules still allow; the whole of "no effect happens twice" is here.
+    /// What the rules still allow.
     pub(super) fn lawful(&self, live: &Live, now: Time) -> Lawful {
         let class = &self.classes[&live.request.class].class;
         let out = live.attempts.iter().any(|a| a.fate == Fate::Out);
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -21,6 +21,7 @@
     /// In requests of the usual size, by the hint.
     work: f64,
     deadline: Time,
+    dialects: Dialects,
     tries: Vec<Try>,
     over: bool,
     bound: bool,
@@ -63,6 +64,7 @@
                     class: r.class.0,
                     work: r.cost_hint.map_or(1.0, |h| h.ms() / 40.0),
                     deadline: now + r.time_left,
+                    dialects: r.dialects,
                     tries: Vec::new(),
                     over: false,
                     bound: false,
@@ -160,6 +162,9 @@
                 let work = seen.work;
                 let out = seen.tries.iter().any(|t| t.ended.is_none());
                 let mut wrong = Vec::new();
+                if !seen.dialects.has(line.dialect) {
+                    wrong.push("sent to a server that it can't be said to");
+                }
                 if seen.over {
                     wrong.push("sent after its end");
                 }
--- /dev/null
+++ b/crates/decision/tests/dialects.rs
@@ -0,0 +1,69 @@
+//! Guards the promise that a request goes to servers only that it can be said to, at its first attempt and at every other.
+mod common;
+use common::*;
+use heronhoist_decision::*;
+
+const OLD: DialectId = DialectId(1);
+
+fn settings(balancers: u32) -> Settings {
+    let classes =
+        vec![class(Effect::Idempotent), class(keyed(Group::Cell, 600.0)), class(Effect::AtMostOnce)];
+    Settings { classes, balancers, max_attempts: 3, ..Settings::default() }
+}
+
+/// Old servers are those with even numbers, in cells of both kinds.
+fn mixed(n: u32) -> Vec<Listed> {
+    let dialect = |line: &Listed| if line.server.0 % 2 == 0 { OLD } else { DialectId(0) };
+    fleet(n, 2, 3).into_iter().map(|line| Listed { dialect: dialect(&line), ..line }).collect()
+}
+
+/// Sends to old and to new servers of requests that may go to `dialects`; a third of all attempts fails.
+fn sent(balancers: u32, dialects: Dialects, seed: u64) -> [usize; 2] {
+    let mut rig = Rig::new(settings(balancers), seed);
+    rig.list(mixed(12));
+    let (mut sent, mut rng) = ([0, 0], fastrand::Rng::with_seed(seed));
+    let (mut all, mut tries) = (Vec::new(), std::collections::BTreeMap::new());
+    for n in 0..700 {
+        let left = Span::from_ms(800.0);
+        let request = Request { dialects, ..Request::new(RequestId(n), ClassId(rng.usize(0..3)), left) };
+        // The last hundred turns only answer.
+        if n < 600 {
+            rig.tell(Event::Request(request));
+            all.append(&mut rig.actions);
+        }
+        while let Some(action) = all.pop() {
+            let Action::Send { request, server, .. } = action else { continue };
+            sent[usize::from(server.0 % 2 == 1)] += 1;
+            let attempt = tries.entry(request).or_insert(0);
+            let fate = [Outcome::Success, Outcome::Success, Outcome::ConnectFailed, Outcome::ConnectionReset];
+            rig.answer(request, *attempt, fate[rng.usize(0..4)], 5.0);
+            *attempt += 1;
+            all.append(&mut rig.actions);
+        }
+        all.extend(rig.wait(Span::from_ms(20.0)));
+    }
+    rig.assert_rules();
+    sent
+}
+
+#[test]
+fn a_request_is_sent_only_to_servers_that_it_can_be_said_to() {
+    for (seed, balancers) in [(1, 3), (2, 3), (3, 60), (4, 60)] {
+        let [old, new] = sent(balancers, Dialects::only(OLD), seed);
+        assert!(old > 50 && new == 0, "{balancers}: {old} {new}");
+        let [old, new] = sent(balancers, Dialects::only(DialectId(0)), seed);
+        assert!(old == 0 && new > 50, "{balancers}: {old} {new}");
+        let [old, new] = sent(balancers, Dialects::ALL, seed);
+        assert!(old > 50 && new > 50, "{balancers}: {old} {new}");
+    }
+}
+
+#[test]
+fn a_set_of_dialects_holds_what_was_put_in() {
+    let set = Dialects::only(OLD).with(DialectId(31));
+    assert!(set.has(OLD) && set.has(DialectId(31)) && !set.has(DialectId(0)));
+    assert!(!set.with(DialectId(200)).has(DialectId(200)), "there are 32");
+    assert!(
+        set.meets(Dialects::ALL) && !set.meets(Dialects::only(DialectId(0))) && !set.meets(Dialects::NONE)
+    );
+}
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -1,6 +1,6 @@
 //! Which servers there are: lists with versions, from whoever knows.
 
-use heronhoist_decision::Time;
+use heronhoist_decision::{DialectId, Time};
 use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
@@ -31,6 +31,8 @@
     pub kind: String,
     /// The group of servers that drop each other's repeats.
     pub cell: u32,
+    /// What it speaks. One that speaks otherwise from now on is another process, in a life of its own.
+    pub dialect: DialectId,
     /// What it does at present.
     pub state: State,
     /// Its size among the others, if the list says.
@@ -43,8 +45,18 @@
     /// A server that serves, in no zone, kind or cell of its own.
     pub fn serving(name: &str, address: A) -> Self {
         let (zone, kind) = (String::new(), String::new());
-        let (cell, weight, started) = (0, None, None);
-        Member { name: name.into(), address, zone, kind, cell, state: State::Serving, weight, started }
+        let (cell, dialect, weight, started) = (0, DialectId(0), None, None);
+        Member {
+            name: name.into(),
+            address,
+            zone,
+            kind,
+            cell,
+            dialect,
+            state: State::Serving,
+            weight,
+            started,
+        }
     }
 }
 
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -70,6 +70,8 @@
     pub budget: Duration,
     /// When the client stops waiting; `None` while more of the request is to come.
     pub deadline: Option<Instant>,
+    /// What it can be said in.
+    pub dialects: Dialects,
 }
 
 impl<C> Exchange<C> {
@@ -85,6 +87,7 @@
             repeat: false,
             budget,
             deadline: Some(Instant::now() + budget),
+            dialects: Dialects::ALL,
         }
     }
 }
@@ -96,6 +99,8 @@
     NameInUse,
     /// The pool has not been told of any server yet.
     NoList(Span),
+    /// No server is serving that speaks what it can be said in.
+    NoDialect(Span),
     /// The pool holds as many requests as it may.
     Full(Span),
     /// The pool takes nothing new any more.
@@ -107,7 +112,10 @@
     pub fn come_back(self) -> Option<Span> {
         match self {
             Declined::NameInUse => None,
-            Declined::NoList(after) | Declined::Full(after) | Declined::Closed(after) => Some(after),
+            Declined::NoList(after)
+            | Declined::NoDialect(after)
+            | Declined::Full(after)
+            | Declined::Closed(after) => Some(after),
         }
     }
 }
@@ -191,6 +199,8 @@
     requests: Rc<Part>,
     max_attempts: Cell<u32>,
     drain_grace: Cell<Duration>,
+    /// What the servers speak that serve.
+    dialects: Cell<Dialects>,
 }
 
 /// A handle to a pool.
@@ -233,6 +243,7 @@
             requests,
             max_attempts,
             drain_grace,
+            dialects: Cell::new(Dialects::NONE),
         }));
         let mut actions = Vec::new();
         pool.0.core.borrow_mut().balancer.start(pool.0.clock.now(), &mut actions);
@@ -338,6 +349,11 @@
         self.tell(Event::Settings { settings: Box::new(settings), classes });
     }
 
+    /// What the servers speak that there are to send to.
+    pub fn dialects(&self) -> Dialects {
+        self.0.dialects.get()
+    }
+
     /// What it is now.
     pub fn levels(&self) -> Levels {
         let core = self.0.core.borrow();
@@ -364,13 +380,18 @@
 
     /// Takes a request in. It is owed one final answer from here on, unless what is returned is dropped first.
     pub fn submit(&self, exchange: Exchange<U::Call>) -> Result<Owed<U>, Declined> {
-        let Exchange { call, name, class, tenant, key, cost_hint, repeat, budget, deadline } = exchange;
+        let Exchange { call, name, class, tenant, key, cost_hint, repeat, budget, deadline, dialects } =
+            exchange;
         if *self.0.closed.borrow() {
             return Err(Declined::Closed(COME_BACK));
         }
         if !self.0.has_list.get() {
             return Err(Declined::NoList(COME_BACK));
         }
+        // Whoever can speak to all may find one that comes back in time; the others would wait in vain.
+        if dialects != Dialects::ALL && !dialects.meets(self.0.dialects.get()) {
+            return Err(Declined::NoDialect(COME_BACK));
+        }
         let (reply, answer) = oneshot::channel();
         let call = Rc::new(call);
         let id = {
@@ -406,6 +427,7 @@
             repeat,
             time_left: Span(left.as_micros() as u64),
             arriving: deadline.is_none(),
+            dialects,
         }));
         Ok(Owed { pool: self.clone(), id, answer, call, budget, deadline })
     }
@@ -632,7 +654,12 @@
         let told = tracing::enabled!(target: "heronhoist::membership", tracing::Level::DEBUG);
         let named = list.members.iter().filter(|_| told);
         let names: Vec<String> = named.map(|member| member.name.clone()).collect();
-        let lines = self.0.core.borrow_mut().servers.take(list, |server| upstream.close_idle(server));
+        let lines = {
+            let mut core = self.0.core.borrow_mut();
+            let lines = core.servers.take(list, |server| upstream.close_idle(server));
+            self.0.dialects.set(core.servers.dialects());
+            lines
+        };
         for (line, name) in lines.iter().zip(names) {
             let age_ms = line.started.map(|at| self.0.clock.now().since(at).ms() as u64);
             tracing::debug!(
--- a/crates/engine/src/servers.rs
+++ b/crates/engine/src/servers.rs
@@ -2,7 +2,7 @@
 
 use crate::membership::{List, Member, State};
 use crate::upstream::Place;
-use heronhoist_decision::{CellId, KindId, Listed, ServerId, Status, Time, ZoneId};
+use heronhoist_decision::{CellId, Dialects, KindId, Listed, ServerId, Status, Time, ZoneId};
 use rustc_hash::FxHashMap;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -81,6 +81,12 @@
         self.servers.values().any(|s| s.serving)
     }
 
+    /// What those speak that there are to send to.
+    pub(crate) fn dialects(&self) -> Dialects {
+        let serving = self.servers.values().filter(|s| s.serving);
+        serving.fold(Dialects::NONE, |all, server| all.with(server.place.dialect))
+    }
+
     /// How many have not left.
     pub(crate) fn known(&self) -> usize {
         self.servers.values().filter(|s| !s.gone).count()
@@ -154,12 +160,15 @@
             }
         };
         let server = self.servers.entry(id).or_insert_with(|| {
-            let place = Place { server: id, address: member.address.clone(), life: 0 };
+            let place =
+                Place { server: id, address: member.address.clone(), life: 0, dialect: member.dialect };
             Server { place, serving: false, gone: false, off_since: None, started, out: 0 }
         });
-        if server.place.address != member.address || server.started != started {
-            // Another process: connections to the one before lead nowhere.
-            server.place = Place { server: id, address: member.address, life: server.place.life + 1 };
+        let moved = server.place.address != member.address || server.place.dialect != member.dialect;
+        if moved || server.started != started {
+            // Another process: connections to the one before lead nowhere. What is in flight ends as it began.
+            let (dialect, life) = (member.dialect, server.place.life + 1);
+            server.place = Place { server: id, address: member.address, life, dialect };
             server.started = started;
             cut(id);
         }
@@ -176,6 +185,7 @@
             zone: ZoneId(self.zones.of(&member.zone)),
             kind: KindId(self.kinds.of(&member.kind)),
             cell: CellId(member.cell),
+            dialect: member.dialect,
             status: match member.state {
                 State::Serving => Status::Serving,
                 State::Draining => Status::Draining,
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -1,6 +1,6 @@
 //! What the engine asks of the side that speaks to servers.
 
-use heronhoist_decision::{Outcome, ServerId};
+use heronhoist_decision::{DialectId, Outcome, ServerId};
 use std::cell::Cell;
 use std::fmt::Debug;
 use std::future::Future;
@@ -14,8 +14,10 @@
     pub server: ServerId,
     /// Where it listens.
     pub address: A,
-    /// Counts its restarts and moves.
+    /// Counts its restarts and moves, and changes of what it speaks.
     pub life: u64,
+    /// What it speaks in that life.
+    pub dialect: DialectId,
 }
 
 /// How far a request that came in parts has come.
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -191,6 +191,7 @@
                     repeat: opts & 2 != 0,
                     time_left: Span::from_ms(expires_in_ms),
                     arriving: false,
+                    dialects: Dialects::ALL,
                 }))
             }
             Incoming::FirstByte { ticket, attempt } => self
@@ -309,6 +310,7 @@
             zone: ZoneId(entry.campus),
             kind: KindId(entry.class_of_host),
             cell: CellId(entry.cluster),
+            dialect: DialectId(0),
             status: match entry.status {
                 wire::EntryStatus::Serving => Status::Serving,
                 wire::EntryStatus::Draining => Status::Draining,
--- a/crates/translate/src/mapping.rs
+++ b/crates/translate/src/mapping.rs
@@ -257,6 +257,11 @@
         self.0.iter().find(|mapping| mapping.old.method == method && mapping.old.path == path)
     }
 
+    /// Those whose new requests have this method and path: several old ones may become the same.
+    pub fn of_new<'a>(&'a self, method: &'a str, path: &'a str) -> impl Iterator<Item = &'a Rc<Mapping>> {
+        self.0.iter().filter(move |mapping| mapping.new.method == method && mapping.new.path == path)
+    }
+
     /// All of them.
     pub fn all(&self) -> &[Rc<Mapping>] {
         &self.0
--- a/crates/translate/src/wire/trouble.rs
+++ b/crates/translate/src/wire/trouble.rs
@@ -1,7 +1,9 @@
 //! Refusals and failures in the client's own form, with the same meaning in each.
 
 use super::{json::quoted, soap};
+use crate::charset::Charset;
 use crate::mapping::Form;
+use crate::node::Limits;
 use std::time::Duration;
 
 /// Why a request gets no answer of a server's.
@@ -84,6 +86,19 @@
     }
 }
 
+/// Whether an old server's answer says that it turned the request away unseen: status 503 with the first line of a refusal
+/// in text, or with the fault code of one in SOAP. Anything else may have run.
+pub fn is_refusal(status: u16, body: &[u8]) -> bool {
+    if status != 503 {
+        return false;
+    }
+    if body.starts_with(b"REFUSED\r\n") {
+        return true;
+    }
+    let read = soap::decode(body, Charset::Utf8, Limits::default());
+    matches!(read, Ok(soap::Body::Fault { code, .. }) if code.rsplit(':').next() == Some("Server.Busy"))
+}
+
 /// Old clients read ASCII in any charset.
 fn ascii(text: &str) -> String {
     text.chars().map(|c| if c.is_ascii() && !c.is_control() { c } else { '?' }).collect()
@@ -99,7 +114,8 @@
         for form in [Form::Json, Form::Soap, Form::Form, Form::Table] {
             let told = refused.tell(form);
             assert_eq!((told.status, told.retry_after), (503, Some(2)), "{form:?}");
-            assert!(String::from_utf8(told.body).unwrap().contains('2'), "{form:?}");
+            assert!(String::from_utf8_lossy(&told.body).contains('2'), "{form:?}");
+            assert_eq!(is_refusal(told.status, &told.body), form != Form::Json, "{form:?}");
         }
     }
 
@@ -109,6 +125,7 @@
             for trouble in [Trouble::Failed("x \"<&".into()), Trouble::Wrong("é".into())] {
                 let told = trouble.tell(form);
                 assert!(!matches!(told.status, 200..=299 | 429 | 503), "{form:?}");
+                assert!(!is_refusal(503, &told.body), "whatever the status says");
             }
         }
         let problem = Trouble::Failed("a \"b\"".into()).tell(Form::Json).body;
