Let only many agents double the pause of a cold server that stays full

At fault: the doubling in learn(), limits.rs, which did not ask how many there are.

Change: it doubles for more than ten balancers only.

--- a/crates/decision/src/policy/limits.rs
+++ b/crates/decision/src/policy/limits.rs
@@ -129,7 +129,7 @@
         }
         if warmth < 1.0 && matches!(outcome, Outcome::Rejected | Outcome::TimedOut) {
             let least = Span::from_ms(known.usual()) * (1.0 / warmth.max(0.01));
-            let again = |(until, pause): (Time, Span)| if now < until { pause } else { pause * 2.0 };
+            let again = |(until, pause)| if now < until || !many { pause } else { pause * 2.0 };
             let pause = s.full.map_or(least, again).min(self.settings.fall_after * 0.5).max(least);
             s.full = Some((now + pause, pause));
         }
--- a/crates/decision/src/policy/mod.rs
+++ b/crates/decision/src/policy/mod.rs
@@ -90,7 +90,7 @@
     /// Load by the last report, and what was sent since.
     told: f64,
     /// It was cold and turned one away or did not answer in time. That pushes it too, so it is left alone
-    /// until then, longer each time, and then sent one request at a time until it has served one.
+    /// until then, by many longer each time, and then sent one request at a time until it has served one.
     full: Option<(Time, Span)>,
     /// When the list first said that it has left.
     gone_at: Option<Time>,
