Bound how many servers a pool knows, and try discovery's bad answers one by one

Change: a pool knows 4,096 servers, those that have just left among them; further names are left out with a warning, known ones are still heard of, and room comes back as servers leave. A list has 2 MiB at most.

Measured by tests: 9,000 names in three changes and 9,000 in one list leave 4,096 known; the list after it is served; a drain of a known one is taken when full. Lists that are cut off, too large, of another form or version, no HTTP, or older than the one that stands change nothing, and a good one after each is taken. Prices absent, negative or of 1e308 are borne by one of 300 agents.

--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -4,7 +4,7 @@
 use crate::wire::Wire;
 use bytes::Bytes;
 use heronhoist_decision::Time;
-use heronhoist_engine::{Feed, List, Member, Membership};
+use heronhoist_engine::{Feed, List, Member, Membership, SERVERS_MOST};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
@@ -31,8 +31,9 @@
 const MOVED_PAUSE: Duration = Duration::from_millis(150);
 /// The whole list; with a version it is a watch on what is newer.
 const LIST_PATH: &str = "/registry/instances";
-/// The largest list that is read.
-const LIST_MOST: usize = 8 * 1024 * 1024;
+/// The largest list that is read: some 500 bytes for each server that a pool takes. While it is read it takes about four
+/// times as much.
+const LIST_MOST: usize = SERVERS_MOST * 512;
 /// Pause after an answer that came at once and brought nothing new, so that a discovery which does not wait is not
 /// asked without end; well within the 200 ms that may lie between two watches.
 const EMPTY_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/agent/tests/loopback/common.rs
+++ b/crates/agent/tests/loopback/common.rs
@@ -189,13 +189,16 @@
     rev: i64,
     targets: String,
     down: bool,
+    /// Written in place of a list, and the connection closed.
+    spoilt: Option<String>,
 }
 
 impl Discovery {
     pub fn new(targets: String) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let list = Arc::new((Mutex::new(List { rev: 2, targets, down: false }), Condvar::new()));
+        let list =
+            Arc::new((Mutex::new(List { rev: 2, targets, down: false, spoilt: None }), Condvar::new()));
         let discovery = Discovery { address, asked: Arc::default(), list };
         let (asked, list) = (Arc::clone(&discovery.asked), Arc::clone(&discovery.list));
         thread::spawn(move || {
@@ -213,6 +216,19 @@
         self.list.1.notify_all();
     }
 
+    /// Each call is answered by this and a close, or by lists again.
+    pub fn spoil(&self, text: Option<String>) {
+        self.list.0.lock().unwrap().spoilt = text;
+        self.list.1.notify_all();
+    }
+
+    /// The next list has this version.
+    pub fn turn_to(&self, rev: i64, targets: String) {
+        let mut list = self.list.0.lock().unwrap();
+        (list.rev, list.targets, list.spoilt) = (rev, targets, None);
+        self.list.1.notify_all();
+    }
+
     /// Down: watches end and calls fail.
     pub fn set_down(&self, down: bool) {
         self.list.0.lock().unwrap().down = down;
@@ -227,15 +243,20 @@
         asked.push(path.clone());
         let from = path.split("from=").nth(1).and_then(|t| t.split('&').next()?.parse::<i64>().ok());
         let state = list.0.lock().unwrap();
-        let state = list.1.wait_while(state, |s| !s.down && from.is_some_and(|f| f >= s.rev)).unwrap();
+        let state = list
+            .1
+            .wait_while(state, |s| !s.down && s.spoilt.is_none() && from.is_some_and(|f| f >= s.rev))
+            .unwrap();
         let text = if state.down {
             "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".to_string()
         } else {
             let body = format!(r#"{{"rev":{},"all":true,"targets":[{}]}}"#, state.rev, state.targets);
             format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
         };
+        let spoilt = state.spoilt.clone();
         drop(state);
-        if stream.write_all(text.as_bytes()).is_err() {
+        let text = spoilt.as_deref().unwrap_or(&text);
+        if stream.write_all(text.as_bytes()).is_err() || spoilt.is_some() {
             return;
         }
     }
--- a/crates/agent/tests/loopback/lists.rs
+++ b/crates/agent/tests/loopback/lists.rs
@@ -122,3 +122,89 @@
     discovery.asked.wait(3);
     assert_eq!(Client::to(&agent).ask(&request("read", 9000)).body, b"new");
 }
+
+/// Whatever discovery says in place of a list, the one that stands goes on to be served, and a good one after it is taken.
+#[test]
+fn a_spoilt_list_changes_nothing() {
+    let (old, new) = (Backend::new(|_| ok("old")), Backend::new(|_| ok("new")));
+    let (agent, discovery) = Agent::with(&[&old]);
+    discovery.asked.wait(2);
+    let mut client = Client::to(&agent);
+    let line = serving("s1", new.address);
+    let half = format!("{{\"rev\":99,\"all\":true,\"targets\":[{line},{{\"uid\":\"s2\"");
+    // More than is read of a list, in lines that are well.
+    let huge =
+        format!("{{\"rev\":99,\"all\":true,\"targets\":[{}{line}]}}", format!("{line},").repeat(30_000));
+    let (short, long) = (half.len(), huge.len());
+    let texts = [
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{half}", short + 500),
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {short}\r\n\r\n{half}"),
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {long}\r\n\r\n{huge}"),
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]".into(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"rev\":1e99,\"all\":true,\"targets\":[]}      "
+            .into(),
+        "\0\u{1}\u{2}".into(),
+        String::new(),
+    ];
+    let watches = |rev: i64| {
+        while !discovery.asked.all().iter().any(|path| path.contains(&format!("from={rev}&"))) {
+            std::thread::yield_now();
+        }
+    };
+    for (rev, text) in (10..).zip(texts) {
+        let asked = discovery.asked.all().len();
+        discovery.spoil(Some(text));
+        discovery.asked.wait(asked + 1);
+        assert_eq!(client.ask(&request("read", 9000)).body, b"old");
+        discovery.turn_to(rev, serving("s0", old.address));
+        watches(rev);
+    }
+    // One that goes back in its version is older than the one that stands.
+    let asked = discovery.asked.all().len();
+    let older = format!("{{\"rev\":9,\"all\":true,\"targets\":[{line}]}}");
+    let length = older.len();
+    discovery.spoil(Some(format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{older}")));
+    discovery.asked.wait(asked + 1);
+    assert_eq!(client.ask(&request("read", 9000)).body, b"old");
+    discovery.turn_to(30, line);
+    watches(30);
+    assert_eq!(client.ask(&request("read", 9000)).body, b"new");
+}
+
+/// A list of thousands is taken as far as there is room; the agent serves, and goes back to a short one.
+#[test]
+fn a_list_of_thousands_is_bounded() {
+    let (old, new) = (Backend::new(|_| ok("old")), Backend::new(|_| ok("new")));
+    let discovery = Discovery::new(serving("s0", old.address));
+    let agent = Agent::start(&with_ops(&config(discovery.address, "", SETTINGS, 1024)));
+    discovery.asked.wait(2);
+    let lines: Vec<String> = (0..9000).map(|n| serving(&format!("s{n}"), new.address)).collect();
+    discovery.change(lines.join(","));
+    discovery.asked.wait(3);
+    let mut client = Client::to(&agent);
+    assert_eq!(client.ask(&request("read", 9000)).body, b"new");
+    assert_eq!(agent.figure("app_record_servers_known"), Some(4096.0));
+    discovery.change(serving("s0", old.address));
+    discovery.asked.wait(4);
+    assert_eq!(client.ask(&request("read", 9000)).body, b"old");
+    agent.wait_figure("app_record_servers_known", 1.0);
+}
+
+/// Prices that are absent, or that nobody can pay, turn no decision over: an agent serves by them all the same.
+#[test]
+fn prices_that_make_no_sense_are_borne() {
+    let backend = Backend::new(|_| ok("x"));
+    for prices in
+        ["{}", r#"{"crossZone":-7,"probe":-1,"handshake":1e300}"#, r#"{"crossZone":1e308,"waste":1e308}"#]
+    {
+        let settings =
+            SETTINGS.replace("\"rules\"", &format!("\"balancers\":300,\"penalties\":{prices},\"rules\""));
+        let discovery = Discovery::new(serving("s", backend.address));
+        let agent = Agent::start(&config(discovery.address, "", &settings, 1024));
+        discovery.asked.wait(2);
+        let mut client = Client::to(&agent);
+        for _ in 0..20 {
+            assert_eq!(client.ask(&request("read", 9000)).status(), 200, "{prices}");
+        }
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,5 +18,5 @@
 pub use membership::{Feed, Fixed, Heard, List, Member, Membership, State};
 pub use pool::{Declined, Exchange, Final, Levels, Owed, Pool, Setup, ANSWER_RESERVE};
 pub use quota::{Part, Portion, Quota};
-pub use servers::ServerNames;
+pub use servers::{ServerNames, SERVERS_MOST};
 pub use upstream::{Arriving, Coming, Ended, Gate, Payload, Place, Upstream};
--- a/crates/engine/src/servers.rs
+++ b/crates/engine/src/servers.rs
@@ -10,6 +10,8 @@
 
 /// A server that drains or is gone is sent nothing from this on before the grace is over.
 const DRAIN_RESERVE: Duration = Duration::from_millis(100);
+/// Servers that a pool knows at any time, those that have just left among them. Lines beyond are left out, and told in the log.
+pub const SERVERS_MOST: usize = 4096;
 /// Names of zones or kinds that have a number of their own.
 const NAMES_MOST: u32 = 1000;
 
@@ -133,8 +135,18 @@
     /// Takes over addresses and states; returns the lines in the module's terms. `cut` is told of each server whose
     /// resting connections lead nowhere from now on, or to one that wants nothing new.
     pub(crate) fn take(&mut self, list: List<A>, mut cut: impl FnMut(ServerId)) -> Vec<Listed> {
-        let lines: Vec<Listed> =
-            list.members.into_iter().map(|member| self.take_member(member, &mut cut)).collect();
+        let told = list.members.len();
+        let members = list.members.into_iter();
+        let lines: Vec<Listed> = members.filter_map(|member| self.take_member(member, &mut cut)).collect();
+        if lines.len() < told {
+            tracing::warn!(
+                target: "heronhoist::membership",
+                version = list.version,
+                left_out = told - lines.len(),
+                known = self.servers.len(),
+                "a list names more servers than are taken"
+            );
+        }
         if list.whole {
             let named: HashSet<ServerId> = lines.iter().map(|line| line.server).collect();
             for (id, server) in &mut self.servers {
@@ -148,11 +160,13 @@
         lines
     }
 
-    fn take_member(&mut self, member: Member<A>, cut: &mut impl FnMut(ServerId)) -> Listed {
+    /// `None` of a server that there is no room to know.
+    fn take_member(&mut self, member: Member<A>, cut: &mut impl FnMut(ServerId)) -> Option<Listed> {
         let started = member.started;
         let next = ServerId(self.next);
         let id = match self.ids.get(&member.name) {
             Some(id) => *id,
+            None if self.servers.len() >= SERVERS_MOST => return None,
             None => {
                 self.ids.insert(member.name, next);
                 self.next += 1;
@@ -180,7 +194,7 @@
                 cut(id);
             }
         }
-        Listed {
+        Some(Listed {
             server: id,
             zone: ZoneId(self.zones.of(&member.zone)),
             kind: KindId(self.kinds.of(&member.kind)),
@@ -193,7 +207,7 @@
             },
             weight: member.weight.filter(|w| w.is_finite()).unwrap_or(1.0),
             started,
-        }
+        })
     }
 }
 
@@ -225,6 +239,27 @@
         }
     }
 
+    /// Changes that name ever new servers and never end one fill no memory; what is known is still heard of.
+    #[tokio::test(start_paused = true)]
+    async fn a_pool_knows_so_many_servers_and_no_more() {
+        let mut servers = Servers::new(&ServerNames::default());
+        for n in 0..3 {
+            let members = (0..3000).map(|i| Member::serving(&format!("s{n}-{i}"), 80)).collect();
+            servers.take(List { version: n, whole: false, members }, |_| {});
+        }
+        assert_eq!((servers.servers.len(), servers.ids.len()), (SERVERS_MOST, SERVERS_MOST));
+        let drained = Member { state: State::Draining, ..Member::serving("s0-7", 80) };
+        let lines = servers.take(List { version: 3, whole: false, members: vec![drained] }, |_| {});
+        assert_eq!(lines.len(), 1);
+        assert_eq!(lines[0].status, Status::Draining);
+        // Those that leave make room, once their grace is over.
+        let last = vec![Member::serving("last", 80)];
+        assert_eq!(servers.take(List { version: 4, whole: true, members: last.clone() }, |_| {}).len(), 0);
+        tokio::time::advance(Duration::from_secs(2)).await;
+        servers.forget(Duration::from_secs(1));
+        assert_eq!(servers.take(List { version: 5, whole: true, members: last }, |_| {}).len(), 1);
+    }
+
     /// What drains is cut off before its grace is over, and one that something is out to stays known.
     #[tokio::test(start_paused = true)]
     async fn a_drain_closes_the_gate_in_time_and_a_restart_is_a_new_life() {
