Settle where a request of a mixed fleet may go in the translator, without I/O

Change: translate::mixed holds where a request may go and its other form, for both directions, and the answers' way back; the agent keeps the headers and bodies. A mapping's faults and losses are settled in one place instead of three.

A request that can only be said in the old dialect, or only with loss, is shown by the clock's hole in March and by 51 degF.

--- a/crates/agent/src/dialect.rs
+++ b/crates/agent/src/dialect.rs
@@ -1,7 +1,5 @@
-//! What servers of a mixed fleet speak, and requests said in both dialects.
-//!
-//! A request goes to servers only that it can be said to without loss, which is settled before the module draws: `plan` for one
-//! of an old client, `also_old` for one of a new client. An attempt speaks its server's dialect as that was when it began.
+//! What servers of a mixed fleet speak, and requests and answers in both dialects. Where a request may go is settled by
+//! `heronhoist_translate::mixed` before the module draws; an attempt speaks its server's dialect as that was when it began.
 
 use crate::backend::{Call, Content, Said, Served};
 use crate::intake::IDEMPOTENCY_KEY;
@@ -10,7 +8,8 @@
 use heronhoist_decision::{DialectId, Dialects};
 use heronhoist_engine::{Exchange, Portion};
 use heronhoist_translate::mapping::Form;
-use heronhoist_translate::{Limits, Mapping, Mappings, Notice, Part, Side};
+use heronhoist_translate::mixed::{self, Sides};
+use heronhoist_translate::{Mapping, Mappings, Notice, Side};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::Method;
 use std::rc::Rc;
@@ -32,14 +31,15 @@
     pub notices: Vec<Notice>,
 }
 
-/// Where a request of an old client may go, given whether it can be said to new servers (`Some` with whether something is
-/// lost there) and what there is to send to: where old servers serve, losses are theirs to spare.
-pub fn plan(new: Option<bool>, serving: Dialects) -> Dialects {
-    match (new, serving.has(OLD)) {
-        (Some(false), true) => Dialects::only(NEW).with(OLD),
-        (Some(true) | None, true) => Dialects::only(OLD),
-        (_, false) => Dialects::only(NEW),
-    }
+/// What servers speak, in the translator's terms.
+pub fn sides(dialects: Dialects) -> Sides {
+    Sides { old: dialects.has(OLD), new: dialects.has(NEW) }
+}
+
+/// And in the module's.
+pub fn dialects(sides: Sides) -> Dialects {
+    let known = [(sides.new, NEW), (sides.old, OLD)].into_iter().filter(|(is, _)| *is);
+    known.fold(Dialects::NONE, |all, (_, dialect)| all.with(dialect))
 }
 
 /// The request of a new client for old servers too, where it can be said to them without loss and with the same key. Where it
@@ -53,30 +53,20 @@
         return;
     }
     let call = &exchange.call;
-    let said = mappings.of_new(call.method.as_str(), call.uri.path()).find_map(|mapping| old(mapping, call));
+    let said = mappings.of_new(call.method.as_str(), call.uri.path()).find_map(|mapping| {
+        let Payload::Held(body) = &call.body else { return None };
+        let is_query = call.method == Method::GET;
+        let bytes = if is_query { call.uri.query().unwrap_or_default().as_bytes() } else { body };
+        let key = call.headers.get(IDEMPOTENCY_KEY).map(|key| key.to_str().unwrap_or_default());
+        let plan = mixed::from_new(mapping, bytes, key, sides(serving));
+        said(mapping, &call.headers, plan.other?)
+    });
     if let Some(said) = said {
         exchange.call.old = Some(Box::new(said));
         exchange.dialects = exchange.dialects.with(OLD);
     }
 }
 
-fn old(mapping: &Rc<Mapping>, call: &Call) -> Option<Said> {
-    let Payload::Held(body) = &call.body else { return None };
-    let is_query = call.method == Method::GET;
-    let bytes = if is_query { call.uri.query().unwrap_or_default().as_bytes() } else { body };
-    let message = mapping.new.decode(Part::Request, bytes, Limits::default()).ok()?;
-    let done =
-        mapping.convert(Part::Request, Side::New, &message).ok().filter(|done| done.notices.is_empty())?;
-    // Old servers tell repeats by the fields that the key is made of. Where the client has made its own key the two need not
-    // agree, and a repeat could run at a server of each kind.
-    let key = call.headers.get(IDEMPOTENCY_KEY).map(HeaderValue::as_bytes);
-    if mapping.key(&done.message).as_deref().map(str::as_bytes) != key {
-        return None;
-    }
-    let bytes = mapping.old.encode(Part::Request, &done.message).ok()?;
-    said(mapping, &call.headers, bytes)
-}
-
 /// A message as old servers get it.
 fn said(mapping: &Rc<Mapping>, from: &HeaderMap, bytes: Vec<u8>) -> Option<Said> {
     let old = &mapping.old;
@@ -104,24 +94,6 @@
     let Content::Held(bytes, portion) = served.body else {
         return Err(format!("it is longer than {most} bytes"));
     };
-    let message = mapping.dialect(from).decode(Part::Answer, &bytes, Limits::default())?;
-    let done = mapping.convert(Part::Answer, from, &message).map_err(|why| why.to_string())?;
-    let body = mapping.dialect(from.other()).encode(Part::Answer, &done.message)?;
-    Ok(Translated { body: body.into(), portion, notices: done.notices })
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_request_goes_where_nothing_of_it_is_lost() {
-        let (new, old, both) = (Dialects::only(NEW), Dialects::only(OLD), Dialects::only(NEW).with(OLD));
-        assert_eq!(plan(Some(false), both), both);
-        assert_eq!(plan(Some(true), both), old, "new servers would get less of it");
-        assert_eq!(plan(None, both), old, "new servers can't be told it");
-        assert_eq!(plan(Some(true), new), new, "with a notice");
-        assert_eq!(plan(Some(false), old), both);
-        assert_eq!(plan(None, old), old);
-    }
+    let (body, notices) = mixed::answer(mapping, from, &bytes)?;
+    Ok(Translated { body: body.into(), portion, notices })
 }
--- a/crates/agent/src/legacy.rs
+++ b/crates/agent/src/legacy.rs
@@ -1,7 +1,7 @@
 //! Clients of the old dialects: their requests as the servers' own, and the answers in their form.
 
 use crate::backend::{joined, Call, Said};
-use crate::dialect::{plan, NEW, OLD, SOAP_ACTION};
+use crate::dialect::{self, SOAP_ACTION};
 use crate::intake::{check_end, discard, fault_of, Catalogue, Class, CALL_ID, IDEMPOTENCY_KEY};
 use crate::lanes::Lane;
 use crate::seats::Seat;
@@ -10,8 +10,9 @@
 use heronhoist_decision::Effect;
 use heronhoist_engine::Exchange;
 use heronhoist_translate::mapping::Form;
+use heronhoist_translate::mixed::{self, Plan};
 use heronhoist_translate::wire::trouble::{Told, Trouble};
-use heronhoist_translate::{Limits, Mapping, Mappings, Notice, Part, Side};
+use heronhoist_translate::{Limits, Mapping, Mappings, Notice, Part};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::http::request::Parts;
@@ -156,21 +157,12 @@
     }
     let said = if is_query { head.uri.query().unwrap_or_default().as_bytes() } else { &bytes };
     let message = mapping.old.decode(Part::Request, said, Limits::default()).map_err(wrong)?;
-    let new = mapping.convert(Part::Request, Side::Old, &message).map_err(|why| why.to_string());
-    let new = new.and_then(|done| Ok((mapping.new.encode(Part::Request, &done.message)?, done.notices)));
-    let serving = lane.pool.dialects();
-    let loses = new.as_ref().ok().map(|(_, notices)| !notices.is_empty());
-    let dialects = plan(loses, serving);
-    let (out, notices) = match new {
-        Ok((out, notices)) if dialects.has(NEW) => (out, notices),
-        // It goes to old servers only, as it is.
-        _ if dialects.has(OLD) => (Vec::new(), Vec::new()),
-        Ok(_) => (Vec::new(), Vec::new()),
-        Err(why) => return Err(wrong(why)),
-    };
+    let Plan { sides, other, notices, key } =
+        mixed::from_old(&mapping, &message, dialect::sides(lane.pool.dialects())).map_err(wrong)?;
+    // Without one for new servers it goes to old ones only, as it is.
+    let out = other.unwrap_or_default();
     drop(portion);
 
-    let key = mapping.key(&message);
     let class = match mapping.class_without_key() {
         Some(other) if key.is_none() => catalogue.class(other).unwrap_or(class),
         _ => class,
@@ -180,7 +172,7 @@
         return Err(wrong("the fields that tell repeats apart are missing"));
     }
     let key = key.filter(|_| is_keyed);
-    let old = dialects.has(OLD).then(|| as_it_came(&head, bytes));
+    let old = sides.old.then(|| as_it_came(&head, bytes));
     let held = out.len() + old.as_ref().map_or(0, |old| old.body.len());
     let portion = lane.bodies.take(held).ok_or_else(no_room)?;
     let name = format!("{:032x}", fastrand::u128(..));
@@ -188,7 +180,7 @@
     let mut exchange = exchange.ok_or_else(|| wrong("its path or a header can't be written"))?;
     exchange.call._portion = Some(portion);
     exchange.call.old = old.map(Box::new);
-    exchange.dialects = dialects;
+    exchange.dialects = dialect::dialects(sides);
     Ok(Translated { exchange, class, notices })
 }
 
--- a/crates/translate/src/lib.rs
+++ b/crates/translate/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod field;
 pub mod key;
 pub mod mapping;
+pub mod mixed;
 pub mod node;
 pub mod units;
 pub mod wire;
--- /dev/null
+++ b/crates/translate/src/mixed.rs
@@ -0,0 +1,131 @@
+//! Fleets of which some servers speak the old dialect and some the new: which of the two a request may be said in, and both of
+//! its forms, settled before a server is chosen.
+
+use crate::mapping::{Mapping, Part, Side};
+use crate::node::{Limits, Node};
+use crate::Notice;
+
+/// One or both dialects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Sides {
+    /// The old one.
+    pub old: bool,
+    /// The new one.
+    pub new: bool,
+}
+
+/// Where a request may go, and what it is there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Plan {
+    /// The dialects that it may be sent in.
+    pub sides: Sides,
+    /// The request in the dialect that its client does not speak, if it may be sent in that.
+    pub other: Option<Vec<u8>>,
+    /// What is lost in that, as far as its client has to be told.
+    pub notices: Vec<Notice>,
+    /// What tells its repeats from other requests, if its class has keys and it one.
+    pub key: Option<String>,
+}
+
+/// Where an old request may go, given what there is to send to: where old servers serve, losses are theirs to spare.
+///
+/// Loses something in the new dialect, or can't be said in it: old servers only, if one serves; if none does, new ones with
+/// notices, or the reason why it can't be sent.
+pub fn from_old(mapping: &Mapping, message: &Node, serving: Sides) -> Result<Plan, String> {
+    let key = mapping.key(message);
+    let said = mapping.convert(Part::Request, Side::Old, message).map_err(|why| why.to_string());
+    let said = said.and_then(|done| Ok((mapping.new.encode(Part::Request, &done.message)?, done.notices)));
+    let (old, new) = match &said {
+        Ok((_, notices)) => (serving.old, notices.is_empty() || !serving.old),
+        Err(why) if !serving.old => return Err(why.clone()),
+        Err(_) => (true, false),
+    };
+    let (other, notices) = said.ok().filter(|_| new).map_or((None, Vec::new()), |(b, n)| (Some(b), n));
+    Ok(Plan { sides: Sides { old, new }, other, notices, key })
+}
+
+/// Where a new request may go: to old servers too if it can be said to them without loss, and its own `key` is the one by
+/// which they know its repeats.
+pub fn from_new(mapping: &Mapping, bytes: &[u8], key: Option<&str>, serving: Sides) -> Plan {
+    let only_new = || Plan {
+        sides: Sides { old: false, new: true },
+        other: None,
+        notices: Vec::new(),
+        key: key.map(str::to_owned),
+    };
+    let said = || {
+        let message = mapping.new.decode(Part::Request, bytes, Limits::default()).ok()?;
+        let done = mapping.convert(Part::Request, Side::New, &message).ok()?;
+        // Old servers tell repeats by the fields that the key is made of. Where the client has made its own key the two need
+        // not agree, and a repeat could run at a server of each kind.
+        let same = mapping.key(&done.message).as_deref() == key;
+        let faithful = done.notices.is_empty() && same;
+        faithful.then(|| mapping.old.encode(Part::Request, &done.message).ok())?
+    };
+    match serving.old.then(said).flatten() {
+        Some(bytes) => Plan { sides: Sides { old: true, new: true }, other: Some(bytes), ..only_new() },
+        None => only_new(),
+    }
+}
+
+/// A server's answer in the dialect of the other side, and what is lost. One that can't be said there may have run: it is a
+/// failure, and never passed on in part.
+pub fn answer(mapping: &Mapping, from: Side, bytes: &[u8]) -> Result<(Vec<u8>, Vec<Notice>), String> {
+    let message = mapping.dialect(from).decode(Part::Answer, bytes, Limits::default())?;
+    let done = mapping.convert(Part::Answer, from, &message).map_err(|why| why.to_string())?;
+    Ok((mapping.dialect(from.other()).encode(Part::Answer, &done.message)?, done.notices))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const OLD: Sides = Sides { old: true, new: false };
+    const NEW: Sides = Sides { old: false, new: true };
+    const BOTH: Sides = Sides { old: true, new: true };
+
+    fn mapping(name: &str) -> Mapping {
+        let path = format!("{}/../../deploy/translate/{name}.toml", env!("CARGO_MANIFEST_DIR"));
+        crate::mapping::read(&std::fs::read_to_string(path).unwrap()).unwrap()
+    }
+
+    fn old(mapping: &Mapping, text: &str, serving: Sides) -> Result<Plan, String> {
+        let message = mapping.old.decode(Part::Request, text.as_bytes(), Limits::default()).unwrap();
+        from_old(mapping, &message, serving)
+    }
+
+    const RAIN: &str = "DESK=0042&NUM=1&STN=KTPA&OBSDT=202612010805&WHAT=R&RAIN=1.51&URGENT=Y&CLERK=Ann";
+
+    #[test]
+    fn an_old_request_goes_where_nothing_of_it_is_lost() {
+        let correction = mapping("correction");
+        let sides = |text: &str, serving| old(&correction, text, serving).map(|plan| plan.sides);
+        assert_eq!(sides(RAIN, BOTH), Ok(BOTH));
+        assert_eq!(sides(RAIN, OLD), Ok(BOTH), "a new server may come while it waits");
+        assert_eq!(sides(RAIN, NEW), Ok(NEW));
+        // 50 degF is 10 degC; 51 degF has no end, and is rounded.
+        let warm = RAIN.replace("WHAT=R&RAIN=1.51", "WHAT=T&TEMP=51");
+        assert_eq!(sides(&warm, BOTH), Ok(OLD), "new servers would get less of it");
+        let plan = old(&correction, &warm, NEW).unwrap();
+        assert_eq!((plan.sides, plan.notices.len()), (NEW, 1), "with a notice");
+        assert_eq!(old(&correction, &warm, BOTH).unwrap().notices, []);
+        // A moment that New York's clocks skipped is none.
+        let never = RAIN.replace("202612010805", "202603080230");
+        assert_eq!(sides(&never, BOTH), Ok(OLD));
+        assert!(sides(&never, NEW).is_err());
+    }
+
+    #[test]
+    fn a_new_request_goes_to_old_servers_only_with_the_key_that_they_know() {
+        let correction = mapping("correction");
+        let plan = old(&correction, RAIN, BOTH).unwrap();
+        let (bytes, key) = (plan.other.unwrap(), plan.key.unwrap());
+        let back = from_new(&correction, &bytes, Some(&key), BOTH);
+        assert_eq!((back.sides, back.other.as_deref()), (BOTH, Some(RAIN.as_bytes())));
+        for key in [None, Some("own")] {
+            assert_eq!(from_new(&correction, &bytes, key, BOTH).sides, NEW);
+        }
+        assert_eq!(from_new(&correction, &bytes, Some(&key), NEW).other, None, "nobody needs it");
+        assert_eq!(from_new(&correction, b"{", Some(&key), BOTH).sides, NEW, "theirs to refuse");
+    }
+}
