Play a fleet that turns from the old dialect to the new in the lab, every byte compared

The lab had no dialects.

Change: [dialects] in scenarios, renew, revert and turn as faults, a rule of faithful translation. What is said is written by hand from the truth of each call in both dialects (three classes, requests and answers), carried by agents through translate::mixed, and compared to the byte at servers and clients; servers know repeats by the key that they were told or read.

--- a/check.sh
+++ b/check.sh
@@ -32,6 +32,13 @@
 planted=0
 lab run scenarios/soak.toml --seeds 1 --set length_ms=240000 --set agents.leak_bytes=200 || planted=$?
 test "$planted" -eq 1
+# A fleet that turns from the old dialect to the new under load; and translations that are wrong (the planted faults).
+lab run scenarios/mixed-rolling.toml --seeds 1
+for fault in keys fields; do
+    planted=0
+    lab run scenarios/mixed-rolling.toml --seeds 1 --set "dialects.planted=\"$fault\"" || planted=$?
+    test "$planted" -eq 1
+done
 # What hunt has found stays mended.
 lab run scenarios/found/all-cold.toml --seeds 27387..27392
 lab run scenarios/found/cold-and-full.toml --seeds 1064
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -108,6 +108,10 @@
     pub memory: Vec<(Micros, i64)>,
     /// Agents that ended by themselves.
     pub crashed: usize,
+    /// Messages that reached a server or a client other than they were meant.
+    pub unfaithful: usize,
+    /// Requests that servers of each dialect ran for clients of the other: at old servers, at new ones.
+    pub translated: (u64, u64),
     /// How late the run itself was with what it had to do, at the worst hundredth.
     pub late: Micros,
 }
@@ -129,6 +133,8 @@
     Memory,
     /// A client that waited as it was advised is not sent away again.
     Waits,
+    /// What reaches a server is what its client meant, and what reaches a client is what its server said.
+    Faithful,
     /// No agent ends that was not asked to.
     Crash,
 }
@@ -136,7 +142,7 @@
 impl Rule {
     /// A slow machine can break it though the program is sound.
     pub fn hangs_on_time(self) -> bool {
-        !matches!(self, Rule::OneAnswer | Rule::NoDoubledEffect | Rule::Crash)
+        !matches!(self, Rule::OneAnswer | Rule::NoDoubledEffect | Rule::Faithful | Rule::Crash)
     }
 }
 
@@ -150,6 +156,7 @@
             Rule::Connections => "bounded connections",
             Rule::Memory => "bounded memory",
             Rule::Waits => "advised waits prove true",
+            Rule::Faithful => "faithful translation",
             Rule::Crash => "no agent ends by itself",
         })
     }
@@ -252,6 +259,7 @@
     count(Rule::Drain, late_sends(ledger, grace + SLACK));
     count(Rule::Cold, ledger.falls as usize);
     count(Rule::Crash, ledger.crashed);
+    count(Rule::Faithful, ledger.unfaithful);
     if holds.connections.is_some_and(|most| ledger.most_open > most) {
         count(Rule::Connections, 1);
     }
@@ -429,6 +437,7 @@
         assert_eq!(broken(reborn), [], "a new life has only its old list");
         assert_eq!(broken(|l| l.falls = 1), [Rule::Cold]);
         assert_eq!(broken(|l| l.crashed = 1), [Rule::Crash]);
+        assert_eq!(broken(|l| l.unfaithful = 1), [Rule::Faithful]);
         assert_eq!(broken(|l| l.most_open = 11), [Rule::Connections]);
         assert_eq!(broken(|l| l.memory_mb = Some(8.1)), [Rule::Memory]);
         let grows = |l: &mut Ledger| l.memory.iter_mut().for_each(|(n, held)| *held += 5 * *n as i64);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -18,6 +18,7 @@
 mod scenario;
 mod signal;
 mod sim;
+mod speech;
 mod stage;
 mod wire;
 mod world;
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -105,6 +105,9 @@
         Mode::Real if is_measured => {
             return Err("hold.memory_growth: memory over a run is only looked at in simulated time".into());
         }
+        Mode::Real if jobs.iter().any(|job| job.scenario.mixed.is_some()) => {
+            return Err("dialects: both are only spoken in simulated time".into());
+        }
         Mode::Real => {
             let program = agent(means.agent.as_deref())?;
             for (at, job) in jobs.iter().enumerate() {
--- a/crates/lab/src/real.rs
+++ b/crates/lab/src/real.rs
@@ -195,7 +195,7 @@
         () = line.ended() => return Ok(false),
         served = async {
             sleep(one_way).await;
-            let served = world.serve(server, call, number.filter(|_| agent.is_some())).await;
+            let served = world.serve(server, call, number.filter(|_| agent.is_some()), call as u64).await;
             sleep(one_way).await;
             served
         } => served,
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -58,6 +58,9 @@
     /// What the process held beside what the run writes down, by milliseconds, where that is looked at.
     #[serde(default)]
     pub memory: Vec<(u64, i64)>,
+    /// Requests that servers ran in the dialect that their clients do not speak: in the old one, in the new one.
+    #[serde(default)]
+    pub translated: (u64, u64),
     /// By class: what was served and in which time, from when each call was meant to be sent.
     pub classes: Vec<ClassTimes>,
     /// Second by second.
@@ -236,6 +239,7 @@
             lines: ledger.lines,
             worst_push,
             memory_mb: ledger.memory_mb,
+            translated: ledger.translated,
             memory: ledger.memory.iter().map(|(at, held)| (at / 1000, *held)).collect(),
             classes: classes.collect(),
             seconds_of: seconds_of.collect(),
--- a/crates/lab/src/registry.rs
+++ b/crates/lab/src/registry.rs
@@ -14,6 +14,8 @@
     pub server: usize,
     /// Its building.
     pub building: u32,
+    /// It speaks the old dialect.
+    pub old: bool,
     /// What it does.
     pub state: State,
     /// When it last started, if that was in this run.
@@ -46,6 +48,7 @@
             name: format!("s{server}"),
             server,
             building: building(server, servers, buildings),
+            old: false,
             state: State::Serving,
             started: None,
             version: 1,
@@ -117,6 +120,13 @@
         version
     }
 
+    /// What the machine at this address speaks, from its newest line on.
+    pub fn speaks(&mut self, server: usize, old: bool) {
+        if let Some(line) = self.lines.iter_mut().rev().find(|line| line.server == server) {
+            line.old = old;
+        }
+    }
+
     /// Goes down, or comes back.
     pub fn set_down(&mut self, down: bool) {
         self.down = down;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -27,6 +27,8 @@
     pub agents: usize,
     /// A planted fault: agents keep so many bytes of each attempt for ever.
     pub leak: usize,
+    /// Both dialects are spoken.
+    pub mixed: Option<Mixed>,
     /// What each module is told.
     pub settings: Settings,
     /// Who asks.
@@ -90,6 +92,30 @@
     pub impatient: f64,
 }
 
+/// Who speaks what, where both dialects are spoken.
+#[derive(Debug, Clone)]
+pub struct Mixed {
+    /// So many servers, the first ones, speak the old one at the start.
+    pub old_servers: usize,
+    /// The share of clients that speak it.
+    pub old_clients: f64,
+    /// The share of new clients that make keys of their own, which old servers do not know.
+    pub own_keys: f64,
+    /// A planted fault of the agents' translation.
+    pub planted: Planted,
+}
+
+/// How agents are made to translate wrongly, to see that it is noticed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Planted {
+    /// Not at all.
+    Nothing,
+    /// New servers are told another key than old ones know.
+    Keys,
+    /// One digit of what is translated is another.
+    Fields,
+}
+
 /// A class as clients send it.
 #[derive(Debug, Clone)]
 pub struct ClassMix {
@@ -135,6 +161,12 @@
     Start,
     /// Servers die, and others start cold at their addresses, under names of their own.
     Replace,
+    /// The same, and the others speak the new dialect.
+    Renew,
+    /// The same, and the others speak the old one.
+    Revert,
+    /// Servers start again under their names, cold, in the other dialect.
+    Turn,
     /// The list says that they drain.
     Drain,
     /// They are cut off, and nobody says so.
@@ -166,11 +198,14 @@
 }
 
 /// Names, meaning, and whether it happens to servers (`s`), agents (`a`) or discovery (`-`).
-const KINDS: [(&str, What, char); 18] = [
+const KINDS: [(&str, What, char); 21] = [
     ("kill", What::Kill, 's'),
     ("crash", What::Crash, 's'),
     ("start", What::Start, 's'),
     ("replace", What::Replace, 's'),
+    ("renew", What::Renew, 's'),
+    ("revert", What::Revert, 's'),
+    ("turn", What::Turn, 's'),
     ("drain", What::Drain, 's'),
     ("cut", What::Cut, 's'),
     ("mend", What::Mend, 's'),
@@ -187,6 +222,13 @@
     ("reload-agent", What::ReloadAgent, 'a'),
 ];
 
+impl What {
+    /// Servers begin another life.
+    pub fn starts(self) -> bool {
+        matches!(self, What::Start | What::Replace | What::Renew | What::Revert | What::Turn)
+    }
+}
+
 impl Event {
     /// As a mark on a plot.
     pub fn label(&self) -> String {
@@ -270,6 +312,7 @@
     reader.end(agents);
 
     let clients = clients(reader, &mut root);
+    let mixed = mixed(reader, &mut root, fleet.as_ref().map_or(0, |fleet| fleet.servers));
     let holds = holds(reader, &mut root);
     let tenants = tenants(reader, &mut root);
     let classes = classes(reader, &mut root);
@@ -304,6 +347,7 @@
         registry: Registry { late: late?, lines_per_s: lines },
         agents: number?,
         leak: leak?,
+        mixed: mixed?,
         settings,
         clients: clients?,
         classes: mixes,
@@ -404,6 +448,26 @@
     Holds { whole, worst_window, worst_class, waits_kept, connections, memory_mb, memory_growth }
 }
 
+fn mixed<'t>(reader: &mut Reader<'t>, root: &mut Section<'t>, servers: usize) -> Option<Option<Mixed>> {
+    let mut section = reader.section(root, "dialects");
+    let up_to =
+        |value: &DeValue<'_>| whole(value).and_then(|n| usize::try_from(n).ok()).filter(|n| *n <= servers);
+    let old_servers =
+        reader.get(&mut section, "old_servers", Absent::Nothing, "so many of the servers", up_to);
+    let old_clients = reader.get(&mut section, "old_clients", Absent::Default(0.5), "0 to 1", share);
+    let own_keys = reader.get(&mut section, "own_keys", Absent::Default(0.0), "0 to 1", share);
+    let nothing = Absent::Default(Planted::Nothing);
+    let planted =
+        reader.get(&mut section, "planted", nothing, "\"keys\" or \"fields\"", |v| match text(v)?.as_str() {
+            "keys" => Some(Planted::Keys),
+            "fields" => Some(Planted::Fields),
+            _ => None,
+        });
+    reader.end(section);
+    let (old_clients, own_keys, planted) = (old_clients?, own_keys?, planted?);
+    Some(old_servers.map(|old_servers| Mixed { old_servers, old_clients, own_keys, planted }))
+}
+
 fn tenants<'t>(reader: &mut Reader<'t>, root: &mut Section<'t>) -> Option<Vec<(String, Tenant)>> {
     let mut tenants = Some(Vec::new());
     for mut section in reader.sections(root, "tenant") {
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -5,15 +5,22 @@
 use crate::memory::{Meter, LOOKS};
 use crate::policy::{Plain, Policy, Reaches};
 use crate::record::{Mode, Run};
-use crate::scenario::{Scenario, What};
+use crate::scenario::{Planted, Scenario, What};
 use crate::signal::Signal;
+use crate::speech::Asked;
 use crate::stage::{self, Ask, Carrier, Reply, Served, World, CONNECT_WAIT, KEEPALIVE};
 use crate::world::{Micros, Reach};
-use heronhoist_decision::{ClassId, KeyId, Outcome, ServerId, Span, TenantId, Time};
+use heronhoist_decision::{ClassId, DialectId, Dialects, KeyId, Outcome, ServerId, Span, TenantId, Time};
 use heronhoist_engine::*;
+use heronhoist_translate::mixed::Sides;
+use heronhoist_translate::Side;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
 use std::cell::{Cell, RefCell};
+use std::collections::hash_map::DefaultHasher;
 use std::collections::{HashMap, VecDeque};
 use std::future::Future;
+use std::hash::{Hash, Hasher};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -115,6 +122,19 @@
 
 impl Reaches for Net {
     async fn attempt(&self, server: usize, ask: &Ask, may_send: &dyn Fn() -> bool) -> Outcome {
+        self.send(server, ask, None, may_send).await
+    }
+}
+
+impl Net {
+    /// One attempt; of what is `said` in one dialect, where both are spoken.
+    async fn send(
+        &self,
+        server: usize,
+        ask: &Ask,
+        said: Option<(&Asked, Side)>,
+        may_send: &dyn Fn() -> bool,
+    ) -> Outcome {
         let life = match self.connection(server).await {
             Ok(life) => life,
             Err(outcome) => return outcome,
@@ -130,7 +150,19 @@
         if !self.is_current(server, life) {
             return Outcome::ConnectionReset;
         }
-        let served = self.world.serve(server, ask.call, Some(ask.number)).await;
+        let key = match said {
+            Some((asked, side)) => match self.hear(server, ask, asked, side) {
+                Some(key) => key,
+                None => {
+                    // It speaks otherwise by now and makes nothing of it.
+                    sleep(self.one_way()).await;
+                    connection.kept = true;
+                    return Outcome::ServerError;
+                }
+            },
+            None => ask.call as u64,
+        };
+        let served = self.world.serve(server, ask.call, Some(ask.number), key).await;
         sleep(self.one_way()).await;
         connection.kept = served != Served::Reset;
         match served {
@@ -142,7 +174,38 @@
     }
 }
 
-impl Payload for Ask {}
+impl Net {
+    /// A server reads what it was sent: by which key it knows repeats of it; `None` if it does not speak that.
+    fn hear(&self, server: usize, ask: &Ask, asked: &Asked, side: Side) -> Option<u64> {
+        let (speech, said) = (self.world.speech.as_ref()?, asked.said(side)?);
+        if self.world.old.borrow()[server] != (side == Side::Old) {
+            return None;
+        }
+        let mut ledger = self.world.ledger.borrow_mut();
+        ledger.unfaithful += usize::from(!speech.is_meant(ask.class, ask.call, side, said));
+        if side != asked.side {
+            let count = &mut ledger.translated;
+            *(if side == Side::Old { &mut count.0 } else { &mut count.1 }) += 1;
+        }
+        let key = speech.key_at(ask.class, side, said, asked.key());
+        let mut hasher = DefaultHasher::new();
+        key.hash(&mut hasher);
+        Some(key.map_or(ask.call as u64, |_| hasher.finish()))
+    }
+}
+
+/// A try as an agent holds it.
+struct Held {
+    ask: Ask,
+    said: Option<Asked>,
+}
+
+impl Payload for Held {}
+
+/// An answer, in the dialect of the server that gave it, where both are spoken.
+type Answered = Option<(Side, Vec<u8>)>;
+
+const OLD: DialectId = DialectId(1);
 
 /// How an agent of ours reaches the servers.
 struct Simulated {
@@ -156,12 +219,17 @@
 
 impl Upstream for Simulated {
     type Address = usize;
-    type Call = Ask;
-    type Answer = ();
+    type Call = Held;
+    type Answer = Answered;
 
-    async fn attempt(&self, place: Place<usize>, call: &Ask, gate: Gate<'_>) -> Ended<()> {
+    async fn attempt(&self, place: Place<usize>, call: &Held, gate: Gate<'_>) -> Ended<Answered> {
         self.places.borrow_mut().insert(place.server, (place.address, place.life));
-        let outcome = self.net.attempt(place.address, call, &|| gate.open()).await;
+        let side = if place.dialect == OLD { Side::Old } else { Side::New };
+        let said = call.said.as_ref().map(|asked| (asked, side));
+        if said.is_some_and(|(asked, side)| asked.said(side).is_none()) {
+            return Outcome::NotSent.into();
+        }
+        let outcome = self.net.send(place.address, &call.ask, said, &|| gate.open()).await;
         if self.net.world.scenario.leak > 0 {
             self.leaked.borrow_mut().push(vec![0; self.net.world.scenario.leak]);
         }
@@ -169,10 +237,14 @@
             let world = &self.net.world;
             world.servers.borrow_mut()[place.address].report(world.now()).to_vec()
         });
-        Ended { answer: (outcome == Outcome::Success).then_some(()), report, ..outcome.into() }
+        let answer = (outcome == Outcome::Success).then(|| {
+            let speech = self.net.world.speech.as_ref().filter(|_| call.said.is_some())?;
+            Some((side, speech.answer(call.ask.class, call.ask.call, side)))
+        });
+        Ended { answer, report, ..outcome.into() }
     }
 
-    async fn probe(&self, place: Place<usize>) -> Ended<()> {
+    async fn probe(&self, place: Place<usize>) -> Ended<Answered> {
         let world = &self.net.world;
         world.ledger.borrow_mut().probes += 1;
         let connected = tokio::time::timeout(CONNECT_WAIT, self.net.connection(place.address)).await;
@@ -266,6 +338,7 @@
 fn member(line: &crate::registry::Line) -> Member<usize> {
     Member {
         state: line.state,
+        dialect: if line.old { OLD } else { DialectId(0) },
         cell: line.building,
         started: line.started.map(Time),
         ..Member::serving(&line.name, line.server)
@@ -351,17 +424,66 @@
     }
 }
 
+impl Engines {
+    /// What a client says and where that may go, where both dialects are spoken.
+    fn say(&self, life: &Life, ask: &Ask) -> Result<Option<Asked>, ()> {
+        let (Some(speech), Some(mixed)) = (&self.world.speech, &self.world.scenario.mixed) else {
+            return Ok(None);
+        };
+        // A client speaks the same each time.
+        let draw = |salt: u64| {
+            let mut rng = Pcg64::seed_from_u64((ask.call as u64).wrapping_mul(7) + salt);
+            rng.random::<f64>()
+        };
+        let side = if draw(0) < mixed.old_clients { Side::Old } else { Side::New };
+        let serving = life.pool.dialects();
+        let serving = Sides { old: serving.has(OLD), new: serving.has(DialectId(0)) };
+        let asked = speech.asked(ask.class, ask.call, side, draw(1) < mixed.own_keys, serving);
+        let mut asked = asked.ok_or(())?;
+        match mixed.planted {
+            Planted::Nothing => {}
+            Planted::Keys => asked.spoil_key(),
+            Planted::Fields => asked.spoil_field(),
+        }
+        Ok(Some(asked))
+    }
+
+    /// A server's answer on its way to the client.
+    fn pass_on(&self, ask: &Ask, side: Option<Side>, answered: Answered) -> Answer {
+        let (Some(speech), Some(side), Some((from, bytes))) = (&self.world.speech, side, answered) else {
+            return Answer::Served;
+        };
+        let bytes = if from == side { Some(bytes) } else { speech.translated(ask.class, from, &bytes) };
+        let Some(bytes) = bytes else { return Answer::Failed };
+        let is_true = speech.is_true(ask.class, ask.call, side, &bytes);
+        self.world.ledger.borrow_mut().unfaithful += usize::from(!is_true);
+        Answer::Served
+    }
+}
+
 impl Carrier for Engines {
     async fn carry(&self, agent: usize, ask: Ask) -> Reply {
         let life = self.lives.borrow()[agent].clone();
         let Some(life) = life else { return Reply::Unreachable };
+        let said = match self.say(&life, &ask) {
+            Ok(said) => said,
+            Err(()) => return Reply::Answer(Answer::Failed),
+        };
+        let dialects = said.as_ref().map_or(Dialects::ALL, |asked| {
+            let Sides { old, new } = asked.sides();
+            let with =
+                |all: Dialects, (is, dialect): (bool, DialectId)| if is { all.with(dialect) } else { all };
+            [(new, DialectId(0)), (old, OLD)].into_iter().fold(Dialects::NONE, with)
+        });
+        let side = said.as_ref().map(|asked| asked.side);
         let exchange = Exchange {
             name: None,
+            dialects,
             tenant: (!self.world.scenario.tenants.is_empty()).then_some(TenantId(ask.tenant)),
             key: Some(KeyId(ask.call as u64)),
             cost_hint: ask.hint.map(Span),
             repeat: ask.again,
-            ..Exchange::new(ask, ClassId(ask.class), ask.budget)
+            ..Exchange::new(Held { ask, said }, ClassId(ask.class), ask.budget)
         };
         let owed = match life.pool.submit(exchange) {
             Err(declined) => {
@@ -373,7 +495,7 @@
             biased;
             _ = life.dead.wait_for(|dead| dead) => Reply::Broken,
             answer = owed.answer(|| {}) => Reply::Answer(match answer {
-                Final::Served(()) => Answer::Served,
+                Final::Served(answered) => self.pass_on(&ask, side, answered),
                 Final::Refused(wait) => Answer::Refused(wait.map(|wait| wait.0)),
                 Final::Failed | Final::OutOfTime | Final::Unfinished => Answer::Failed,
             }),
--- /dev/null
+++ b/crates/lab/src/speech.rs
@@ -0,0 +1,340 @@
+//! What clients and servers of the old and the new dialect say, written out by hand from the truth of each call, and compared
+//! to the byte with what reaches the other end. The translator under test is asked for nothing here but its keys.
+
+use heronhoist_translate::mixed::{self, Plan, Sides};
+use heronhoist_translate::{mapping, Limits, Mapping, Part, Side};
+use std::rc::Rc;
+
+/// The worked mappings of the classes, by which agents translate.
+const WORKED: [(&str, &str); 3] = [
+    ("lookup", include_str!("../../../deploy/translate/lookup.toml")),
+    ("correction", include_str!("../../../deploy/translate/correction.toml")),
+    ("certified-copy", include_str!("../../../deploy/translate/certified-copy.toml")),
+];
+
+/// One of the three exchanges that are known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Lookup,
+    Correction,
+    Copy,
+}
+
+/// A call as it is meant, and the answer as it is true.
+#[derive(Debug, Clone, Copy)]
+struct Truth {
+    /// Counts calls; all fields follow from it.
+    number: u64,
+}
+
+impl Truth {
+    fn draw(self, salt: u64, most: u64) -> u64 {
+        // A multiplicative hash: neighbours differ in all fields.
+        let mixed =
+            (self.number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ salt.wrapping_mul(0xd1b5_4a32_d192_ed03);
+        (mixed.wrapping_mul(0x2545_f491_4f6c_dd1d) >> 33) % most
+    }
+
+    fn station(self) -> String {
+        (0..4).map(|n| char::from(b'A' + self.draw(n, 26) as u8)).collect()
+    }
+
+    /// A minute of January 2026, in New York: day, hour, minute. No clock changes then, and the offset is -05:00.
+    fn minute(self, salt: u64) -> (u64, u64, u64) {
+        (self.draw(salt, 31) + 1, self.draw(salt + 1, 24), self.draw(salt + 2, 60))
+    }
+
+    fn desk(self) -> u64 {
+        self.draw(10, 9999) + 1
+    }
+
+    /// Hundredths of an inch, or tenths of a mile an hour.
+    fn measure(self) -> (bool, u64) {
+        (self.draw(11, 2) == 0, self.draw(12, 1500) + 1)
+    }
+}
+
+/// A whole number of units of 10^-digits as a decimal without zeros behind.
+fn decimal(units: u64, digits: usize) -> String {
+    let text = format!("{units:0width$}", width = digits + 1);
+    let (whole, rest) = text.split_at(text.len() - digits);
+    match rest.trim_end_matches('0') {
+        "" => whole.to_owned(),
+        rest => format!("{whole}.{rest}"),
+    }
+}
+
+const ENVELOPE: [&str; 2] = [
+    "<?xml version=\"1.0\" encoding=\"iso-8859-1\"?><soap:Envelope xmlns:soap=\"http://schemas.xmlsoap.org/soap/envelope/\"><soap:Body>",
+    "</soap:Body></soap:Envelope>",
+];
+
+impl Truth {
+    fn request(self, kind: Kind, side: Side) -> String {
+        let station = self.station();
+        match (kind, side) {
+            (Kind::Lookup, _) => {
+                let ((d, h, m), (e, i, n)) = (self.minute(20), self.minute(30));
+                let what = self.draw(40, 3) as usize;
+                match side {
+                    Side::Old => format!(
+                        "STN={station}&BEG=01%2F{d:02}%2F2026+{h:02}%3A{m:02}&END=01%2F{e:02}%2F2026+{i:02}%3A{n:02}&WHAT={}",
+                        ["A", "W", "R"][what]
+                    ),
+                    Side::New => format!(
+                        "station={station}&from=2026-01-{d:02}T{h:02}%3A{m:02}%3A00-05%3A00&to=2026-01-{e:02}T{i:02}%3A{n:02}%3A00-05%3A00&kind={}",
+                        ["all", "wind", "rain"][what]
+                    ),
+                }
+            }
+            (Kind::Correction, _) => {
+                let ((d, h, m), (rain, units), desk) = (self.minute(20), self.measure(), self.desk());
+                let (number, urgent) = (self.number + 1, self.draw(41, 2) == 0);
+                match (side, rain) {
+                    (Side::Old, _) => format!(
+                        "DESK={desk:04}&NUM={number}&STN={station}&OBSDT=202601{d:02}{h:02}{m:02}&WHAT={}&URGENT={}&CLERK=Ann",
+                        if rain { format!("R&RAIN={}", decimal(units, 2)) } else { format!("W&WIND={}", decimal(units, 1)) },
+                        if urgent { "Y" } else { "N" },
+                    ),
+                    (Side::New, _) => format!(
+                        "{{\"reference\":\"{desk:04}-{number}\",\"station\":\"{station}\",\
+                         \"observed_at\":\"2026-01-{d:02}T{h:02}:{m:02}:00-05:00\",{},\"urgent\":{urgent},\"clerk\":\"Ann\",\"schema\":2}}",
+                        // An inch is 25.4 mm, a mile an hour 0.44704 m/s, both exactly.
+                        if rain {
+                            format!("\"quantity\":\"rain\",\"rain_mm\":{}", decimal(units * 254, 3))
+                        } else {
+                            format!("\"quantity\":\"wind\",\"wind_m_s\":{}", decimal(units * 44_704, 6))
+                        }
+                    ),
+                }
+            }
+            (Kind::Copy, _) => {
+                let (case, copies, sealed) = (self.number + 1, self.draw(42, 50) + 1, self.draw(43, 2) == 0);
+                let (first, last, role) =
+                    (self.draw(44, 28) + 1, self.draw(45, 28) + 1, self.draw(46, 3) as usize);
+                match side {
+                    Side::Old => format!(
+                        "{}<m:OrderCopies xmlns:m=\"urn:desk:copies:1\"><CaseNo>{case}</CaseNo><Station>{station}</Station>\
+                         <FirstDay>{first:02}.01.2026</FirstDay><LastDay>{last:02}.02.2026</LastDay><Copies>{copies}</Copies>\
+                         <Sealed>{}</Sealed><Court><Name>Tampa</Name></Court><Party><Name>Ann</Name><Role>{}</Role></Party>\
+                         </m:OrderCopies>{}",
+                        ENVELOPE[0],
+                        if sealed { "yes" } else { "no" },
+                        ["P", "D", "W"][role],
+                        ENVELOPE[1]
+                    ),
+                    Side::New => format!(
+                        "{{\"case\":\"{case}\",\"station\":\"{station}\",\"period\":{{\"first\":\"2026-01-{first:02}\",\
+                         \"last\":\"2026-02-{last:02}\"}},\"copies\":{copies},\"sealed\":{sealed},\"court\":{{\"name\":\"Tampa\"}},\
+                         \"parties\":[{{\"name\":\"Ann\",\"role\":\"{}\"}}],\"language\":\"en\"}}",
+                        ["plaintiff", "defendant", "witness"][role]
+                    ),
+                }
+            }
+        }
+    }
+
+    fn answer(self, kind: Kind, side: Side) -> String {
+        let (d, h, m) = self.minute(50);
+        match (kind, side) {
+            (Kind::Lookup, Side::Old) => {
+                let fahrenheit = 32 + 9 * self.draw(51, 12);
+                format!("H|{}|Tampa|\r\nOBS|01/{d:02}/2026 {h:02}:{m:02}:09|{fahrenheit}|||G|\r\nT|2\r\n", self.station())
+            }
+            (Kind::Lookup, Side::New) => format!(
+                "{{\"station\":{{\"id\":\"{}\",\"name\":\"Tampa\"}},\"observations\":[{{\"at\":\"2026-01-{d:02}T{h:02}:{m:02}:09-05:00\",\
+                 \"temperature_c\":{},\"quality\":\"good\"}}]}}",
+                self.station(),
+                5 * self.draw(51, 12)
+            ),
+            (Kind::Correction, Side::Old) => {
+                format!("H|OK|{}|202601{d:02}{h:02}{m:02}09\r\nT|1\r\n", self.draw(52, 1000) + 1)
+            }
+            (Kind::Correction, Side::New) => format!(
+                "{{\"status\":\"applied\",\"revision\":{},\"applied_at\":\"2026-01-{d:02}T{h:02}:{m:02}:09-05:00\"}}",
+                self.draw(52, 1000) + 1
+            ),
+            (Kind::Copy, Side::Old) => format!(
+                "{}<m:OrderCopiesResponse xmlns:m=\"urn:desk:copies:1\"><OrderNo>{}</OrderNo><Pages>{}</Pages>\
+                 <Fee>{}.00</Fee><Ready>{d:02}.01.2026</Ready></m:OrderCopiesResponse>{}",
+                ENVELOPE[0],
+                self.number + 1,
+                self.draw(53, 90) + 1,
+                self.draw(54, 90) + 1,
+                ENVELOPE[1]
+            ),
+            (Kind::Copy, Side::New) => format!(
+                "{{\"order\":{},\"pages\":{},\"fee\":{{\"amount\":{}.00,\"currency\":\"USD\"}},\"ready_on\":\"2026-01-{d:02}\"}}",
+                self.number + 1,
+                self.draw(53, 90) + 1,
+                self.draw(54, 90) + 1
+            ),
+        }
+    }
+}
+
+/// All that is said in a run.
+pub struct Speech {
+    /// By the class's place.
+    classes: Vec<(Kind, Rc<Mapping>)>,
+}
+
+/// What a client hands to its agent, and where that may go.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    /// What its client speaks.
+    pub side: Side,
+    /// As its client says it.
+    own: Vec<u8>,
+    plan: Plan,
+}
+
+impl Asked {
+    /// The dialects that it may be sent in.
+    pub fn sides(&self) -> Sides {
+        self.plan.sides
+    }
+
+    /// The request in a dialect; `None` if it must not be sent in that.
+    pub fn said(&self, side: Side) -> Option<&[u8]> {
+        if side == self.side {
+            return Some(&self.own);
+        }
+        self.plan.other.as_deref()
+    }
+
+    /// Plants a fault: new servers are told another key than the old fields make.
+    pub fn spoil_key(&mut self) {
+        self.plan.key.iter_mut().for_each(|key| key.push('x'));
+    }
+
+    /// Plants a fault: the last digit that was translated is another.
+    pub fn spoil_field(&mut self) {
+        let digits = self.plan.other.iter_mut().flatten().rev();
+        if let Some(digit) = digits.into_iter().find(|byte| byte.is_ascii_digit()) {
+            *digit = b'0' + (*digit - b'0' + 1) % 10;
+        }
+    }
+
+    /// The key that new servers are told.
+    pub fn key(&self) -> Option<&str> {
+        self.plan.key.as_deref()
+    }
+}
+
+impl Speech {
+    /// Of classes with the names of the worked mappings; the name of the first that has none otherwise.
+    pub fn new<'a>(classes: impl Iterator<Item = &'a str>) -> Result<Speech, String> {
+        let kinds = [Kind::Lookup, Kind::Correction, Kind::Copy];
+        let classes = classes.map(|name| {
+            let at = WORKED.iter().position(|(known, _)| *known == name).ok_or(name)?;
+            let mapping = mapping::read(WORKED[at].1).map_err(|_| name)?;
+            Ok((kinds[at], Rc::new(mapping)))
+        });
+        let classes: Result<Vec<_>, &str> = classes.collect();
+        classes.map(|classes| Speech { classes }).map_err(str::to_owned)
+    }
+
+    /// A call of a client that speaks `side`, as its agent plans it for servers that speak `serving`; `None` if it can't be sent.
+    /// A new client takes the key that the old fields make, or with `own_key` one that they do not.
+    pub fn asked(
+        &self,
+        class: usize,
+        call: usize,
+        side: Side,
+        own_key: bool,
+        serving: Sides,
+    ) -> Option<Asked> {
+        let (kind, mapping) = &self.classes[class];
+        let own = Truth { number: call as u64 }.request(*kind, side).into_bytes();
+        let plan = match side {
+            Side::Old => {
+                let message = mapping.old.decode(Part::Request, &own, Limits::default()).ok()?;
+                mixed::from_old(mapping, &message, serving).ok()?
+            }
+            Side::New => {
+                let key = match (mapping.has_keys(), own_key) {
+                    (false, _) => None,
+                    (true, true) => Some(format!("own-{call}")),
+                    (true, false) => self.key_of_old(class, call),
+                };
+                mixed::from_new(mapping, &own, key.as_deref(), serving)
+            }
+        };
+        Some(Asked { side, own, plan })
+    }
+
+    fn key_of_old(&self, class: usize, call: usize) -> Option<String> {
+        let (kind, mapping) = &self.classes[class];
+        let old = Truth { number: call as u64 }.request(*kind, Side::Old);
+        mapping.key(&mapping.old.decode(Part::Request, old.as_bytes(), Limits::default()).ok()?)
+    }
+
+    /// What a server that speaks `side` tells repeats of this request by, whoever sent it; it reads old ones itself.
+    pub fn key_at(&self, class: usize, side: Side, said: &[u8], key: Option<&str>) -> Option<String> {
+        let mapping = &self.classes[class].1;
+        match side {
+            Side::New => key.map(str::to_owned),
+            Side::Old => mapping.key(&mapping.old.decode(Part::Request, said, Limits::default()).ok()?),
+        }
+    }
+
+    /// Whether a server got what was meant, to the byte.
+    pub fn is_meant(&self, class: usize, call: usize, side: Side, said: &[u8]) -> bool {
+        Truth { number: call as u64 }.request(self.classes[class].0, side).as_bytes() == said
+    }
+
+    /// A server's true answer.
+    pub fn answer(&self, class: usize, call: usize, side: Side) -> Vec<u8> {
+        Truth { number: call as u64 }.answer(self.classes[class].0, side).into_bytes()
+    }
+
+    /// An answer as the agent hands it to a client of the other side; `None` if it can't be said there.
+    pub fn translated(&self, class: usize, from: Side, answer: &[u8]) -> Option<Vec<u8>> {
+        mixed::answer(&self.classes[class].1, from, answer).ok().map(|(bytes, _)| bytes)
+    }
+
+    /// Whether a client got the truth, to the byte.
+    pub fn is_true(&self, class: usize, call: usize, side: Side, answer: &[u8]) -> bool {
+        self.answer(class, call, side) == answer
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const BOTH: Sides = Sides { old: true, new: true };
+
+    /// Each message written by hand becomes the other one written by hand, in all twelve ways, and a changed byte is seen.
+    #[test]
+    fn what_is_said_by_hand_in_both_dialects_is_the_same() {
+        let speech = Speech::new(WORKED.iter().map(|(name, _)| *name)).unwrap();
+        for call in 0..500 {
+            for class in 0..3 {
+                for side in [Side::Old, Side::New] {
+                    let asked = speech.asked(class, call, side, false, BOTH).unwrap();
+                    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+                    assert_eq!(asked.sides(), BOTH, "{}", text(&asked.own));
+                    let said = asked.said(side.other()).unwrap();
+                    let meant = Truth { number: call as u64 }.request(speech.classes[class].0, side.other());
+                    assert_eq!(text(said), meant);
+                    assert!(speech.is_meant(class, call, side.other(), said));
+                    assert!(!speech.is_meant(class, call + 1, side.other(), said));
+                    let keys = [side, side.other()]
+                        .map(|side| speech.key_at(class, side, asked.said(side).unwrap(), asked.key()));
+                    assert_eq!(keys[0], keys[1], "servers of both know its repeats by one key");
+                    assert_eq!(keys[0].is_some(), class == 1);
+
+                    let answer = speech.answer(class, call, side);
+                    let there = speech.translated(class, side, &answer).unwrap();
+                    assert_eq!(text(&there), text(&speech.answer(class, call, side.other())));
+                    assert!(speech.is_true(class, call, side.other(), &there));
+                    assert!(!speech.is_true(class, call + 1, side.other(), &there));
+                }
+            }
+            let own = speech.asked(1, call, Side::New, true, BOTH).unwrap();
+            assert_eq!((own.sides(), own.said(Side::Old)), (Sides { old: false, new: true }, None));
+        }
+    }
+}
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -5,6 +5,7 @@
 use crate::registry::{building, Registry};
 use crate::scenario::{Event, Scenario, What};
 use crate::signal::Signal;
+use crate::speech::Speech;
 use crate::world::{Fate, Job, Memory, Micros, Reach, Server};
 use heronhoist_engine::State;
 use rand::{Rng, SeedableRng};
@@ -64,6 +65,10 @@
     pub servers: RefCell<Vec<Server>>,
     /// How each can be reached, and in which life, for those who must hear of it.
     pub reach: Vec<Signal<(u32, Reach)>>,
+    /// What they speak, and what is said, where both dialects are spoken.
+    pub old: RefCell<Vec<bool>>,
+    /// See [`old`](World::old).
+    pub speech: Option<Speech>,
     /// What is written down.
     pub ledger: RefCell<Ledger>,
     /// Discovery.
@@ -98,16 +103,20 @@
             .collect();
         let mut servers = vec![Server::new(fleet.kind.clone()); fleet.servers];
         servers.iter_mut().zip(&paces).for_each(|(server, pace)| server.set_pace(*pace));
+        let mixed = scenario.mixed.as_ref();
+        let old_servers = mixed.map_or(0, |mixed| mixed.old_servers);
+        let names = scenario.classes.iter().map(|class| class.name.as_str());
+        let speech = mixed.and_then(|_| Speech::new(names).ok());
+        let mut registry = Registry::new(fleet.servers, fleet.buildings, scenario.registry.lines_per_s);
+        (0..old_servers).for_each(|server| registry.speaks(server, true));
         Rc::new(World {
             start: Cell::new(Instant::now()),
             servers: RefCell::new(servers),
             reach: (0..fleet.servers).map(|_| Signal::new((0, Reach::Up))).collect(),
+            old: RefCell::new((0..fleet.servers).map(|server| server < old_servers).collect()),
+            speech,
             ledger: RefCell::new(Ledger { told: vec![Vec::new(); scenario.agents], ..Ledger::default() }),
-            registry: RefCell::new(Registry::new(
-                fleet.servers,
-                fleet.buildings,
-                scenario.registry.lines_per_s,
-            )),
+            registry: RefCell::new(registry),
             changed: Signal::new(1),
             open_house: Cell::new(None),
             load: RefCell::default(),
@@ -212,8 +221,9 @@
         }
     }
 
-    /// A call's request has come whole to a server, in this try. Calling it off is dropping this.
-    pub async fn serve(&self, server: usize, call: usize, number: Option<usize>) -> Served {
+    /// A call's request has come whole to a server, in this try, and its repeats are known by `key`. Calling it off is dropping
+    /// this.
+    pub async fn serve(&self, server: usize, call: usize, number: Option<usize>, key: u64) -> Served {
         let now = self.now();
         self.settle(server, now);
         let (class, repeats, agent, risk) = {
@@ -233,8 +243,8 @@
             Repeats::Dropped { everywhere: true, window } => (Some(window + MEMORY_SLACK), 0),
             Repeats::Harmless | Repeats::Doubled => (None, 0),
         };
-        let known = remembers
-            .is_some_and(|window| self.memories.borrow_mut()[class].knows(now, place, call as u64, window));
+        let known =
+            remembers.is_some_and(|window| self.memories.borrow_mut()[class].knows(now, place, key, window));
         // A repeat that is remembered is only looked up.
         let fate =
             self.servers.borrow_mut()[server].offer(now, job, if known { work / 10 } else { work }, told);
@@ -249,7 +259,7 @@
             }
         }
         if let Some(window) = remembers {
-            self.memories.borrow_mut()[class].runs(now, place, call as u64, window);
+            self.memories.borrow_mut()[class].runs(now, place, key, window);
         }
         if !known && self.open_house.get().is_none() {
             self.ledger.borrow_mut().calls[call].effects.push((now, server, risk));
@@ -352,7 +362,7 @@
                 let target = &mut self.servers.borrow_mut()[server];
                 match event.what {
                     What::Kill | What::Crash => target.kill(),
-                    What::Start | What::Replace => target.start(now),
+                    what if what.starts() => target.start(now),
                     What::Cut => target.cut(true),
                     What::Mend => target.cut(false),
                     What::Choke => target.choke(now, true),
@@ -365,7 +375,7 @@
                     _ => {}
                 }
             }
-            if matches!(event.what, What::Start | What::Replace) {
+            if event.what.starts() {
                 // All who waited for an earlier life learn that it is over; `fell` tells those of one that has died.
                 self.waiting.borrow_mut()[server].clear();
             }
@@ -379,16 +389,24 @@
                     let version = registry.set(server, state, None);
                     ledger.off.push(Off { server, version, until: None });
                 }
-                What::Start | What::Replace => {
+                what if what.starts() => {
                     ledger
                         .off
                         .iter_mut()
                         .filter(|off| off.server == server && off.until.is_none())
                         .for_each(|off| off.until = Some(now));
                     let version = match event.what {
-                        What::Replace => registry.replace(server, now),
+                        What::Replace | What::Renew | What::Revert => registry.replace(server, now),
                         _ => registry.set(server, State::Serving, Some(now)),
                     };
+                    let old = &mut self.old.borrow_mut()[server];
+                    *old = match event.what {
+                        What::Renew => false,
+                        What::Revert => true,
+                        What::Turn => !*old,
+                        _ => *old,
+                    };
+                    registry.speaks(server, *old);
                     self.starts.borrow_mut()[server] = (now, version);
                 }
                 _ => {}
