Write translated requests in one place, and fault classes that no mapping can say

Requests for old and for new servers were built by two pieces of code that differed in their headers only: dialect::written is now called by both. A struct with the name of another, a constant handed down as a parameter, a copied list of an answer's pieces and a hash that was made for requests without a key are gone.

One check was missing: a lab scenario with dialects and a class that no worked mapping has was played as if all spoke alike, so nothing of it was compared. It is a fault of the file now, with a test.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -330,8 +330,7 @@
         let report = head.headers.get("x-load-report").and_then(|v| self.report(v.as_bytes()));
         let turned_away = match dialect {
             OLD if head.status != StatusCode::OK => {
-                let begun: Vec<Bytes> = begun.iter().cloned().collect();
-                ended && is_refusal(head.status.as_u16(), &joined(begun, held))
+                ended && is_refusal(head.status.as_u16(), &joined(begun.iter().cloned(), held))
             }
             _ => head.headers.get("x-rejected").is_some_and(|v| v == "1"),
         };
@@ -363,16 +362,12 @@
             true => "/stats",
             false => "/health/live",
         });
-        let (headers, body) = (HeaderMap::new(), Payload::Held(Bytes::new()));
         let (method, budget) = (Method::GET, PROBE_WAIT);
-        let said = || Said {
-            method: Method::GET,
-            uri: uri.clone(),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-            by: None,
-        };
-        let old = is_old.then(|| Box::new(said()));
+        let (headers, body) = (HeaderMap::new(), Payload::Held(Bytes::new()));
+        let old = is_old.then(|| {
+            let (method, uri, headers, body) = (method.clone(), uri.clone(), HeaderMap::new(), Bytes::new());
+            Box::new(Said { method, uri, headers, body, by: None })
+        });
         let call = Call { method, uri, headers, body, old, budget, counters: None, _portion: None };
         let until = Instant::now() + PROBE_WAIT;
         // Nothing but its time can stop a probe.
--- a/crates/agent/src/dialect.rs
+++ b/crates/agent/src/dialect.rs
@@ -3,15 +3,15 @@
 
 use crate::backend::{Call, Content, Said, Served};
 use crate::intake::IDEMPOTENCY_KEY;
-use crate::upload::Payload;
+use crate::upload::{Payload, HELD_MOST};
 use bytes::Bytes;
 use heronhoist_decision::{DialectId, Dialects};
 use heronhoist_engine::{Exchange, Portion};
-use heronhoist_translate::mapping::Form;
+use heronhoist_translate::mapping::{Dialect, Form};
 use heronhoist_translate::mixed::{self, Sides};
 use heronhoist_translate::{Mapping, Mappings, Notice, Side};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_TYPE, HOST};
-use hyper::Method;
+use hyper::{Method, Uri};
 use std::rc::Rc;
 
 /// The servers' own protocol.
@@ -21,16 +21,6 @@
 /// Names what a SOAP client wants (SOAP 1.1, 6.1.1).
 pub const SOAP_ACTION: HeaderName = HeaderName::from_static("soapaction");
 
-/// A body that was translated: its bytes, the memory that it takes the place of, and what was lost.
-pub struct Translated {
-    /// The body.
-    pub body: Bytes,
-    /// The memory that the other side's held.
-    pub portion: Portion,
-    /// What was lost.
-    pub notices: Vec<Notice>,
-}
-
 /// What servers speak, in the translator's terms.
 pub fn sides(dialects: Dialects) -> Sides {
     Sides { old: dialects.has(OLD), new: dialects.has(NEW) }
@@ -70,30 +60,40 @@
 /// A message as old servers get it.
 fn said(mapping: &Rc<Mapping>, from: &HeaderMap, bytes: Vec<u8>) -> Option<Said> {
     let old = &mapping.old;
-    let method: Method = old.method.parse().ok()?;
-    let mut headers = HeaderMap::with_capacity(3);
+    let (method, uri, mut headers, body) = written(old, from, bytes)?;
+    if old.form == Form::Soap && method != Method::GET {
+        let action = format!("\"{}#{}\"", old.namespace, old.operation);
+        headers.insert(SOAP_ACTION, HeaderValue::try_from(action).ok()?);
+    }
+    Some(Said { method, uri, headers, body, by: Some(Rc::clone(mapping)) })
+}
+
+/// A translated request as its side has it over HTTP: in the query of a GET, in the body of others. `from` is the client's head.
+pub fn written(to: &Dialect, from: &HeaderMap, bytes: Vec<u8>) -> Option<(Method, Uri, HeaderMap, Bytes)> {
+    let method: Method = to.method.parse().ok()?;
+    let mut headers = HeaderMap::with_capacity(5);
     if let Some(host) = from.get(HOST) {
         headers.insert(HOST, host.clone());
     }
     let (uri, body) = if method == Method::GET {
-        (format!("{}?{}", old.path, String::from_utf8(bytes).ok()?), Bytes::new())
+        (format!("{}?{}", to.path, String::from_utf8(bytes).ok()?), Bytes::new())
     } else {
-        headers.insert(CONTENT_TYPE, HeaderValue::try_from(old.form.content_type(old.charset)).ok()?);
-        if old.form == Form::Soap {
-            let action = format!("\"{}#{}\"", old.namespace, old.operation);
-            headers.insert(SOAP_ACTION, HeaderValue::try_from(action).ok()?);
-        }
-        (old.path.clone(), bytes.into())
+        headers.insert(CONTENT_TYPE, HeaderValue::try_from(to.form.content_type(to.charset)).ok()?);
+        (to.path.clone(), bytes.into())
     };
-    let uri = uri.parse().ok()?;
-    Some(Said { method, uri, headers, body, by: Some(Rc::clone(mapping)) })
+    Some((method, uri.parse().ok()?, headers, body))
 }
 
-/// Turns a server's answer into that of the other side. One that can't be said there may have run, and is a failure.
-pub fn answer(mapping: &Mapping, from: Side, served: Served, most: usize) -> Result<Translated, String> {
+/// Turns a server's answer into that of the other side: its body, the memory that the server's held, and what was lost. One that
+/// can't be said there may have run, and is a failure.
+pub fn answer(
+    mapping: &Mapping,
+    from: Side,
+    served: Served,
+) -> Result<(Bytes, Portion, Vec<Notice>), String> {
     let Content::Held(bytes, portion) = served.body else {
-        return Err(format!("it is longer than {most} bytes"));
+        return Err(format!("it is longer than {HELD_MOST} bytes"));
     };
     let (body, notices) = mixed::answer(mapping, from, &bytes)?;
-    Ok(Translated { body: body.into(), portion, notices })
+    Ok((body.into(), portion, notices))
 }
--- a/crates/agent/src/legacy.rs
+++ b/crates/agent/src/legacy.rs
@@ -205,30 +205,16 @@
     key: Option<String>,
     out: Vec<u8>,
 ) -> Option<Exchange<Call>> {
-    let new = &mapping.new;
-    let method: Method = new.method.parse().ok()?;
-    let mut headers = HeaderMap::with_capacity(5);
+    let (method, uri, mut headers, body) = dialect::written(&mapping.new, old, out)?;
     headers.insert(CALL_ID, HeaderValue::from_str(name).ok()?);
     headers.insert("x-call-class", HeaderValue::from_str(&class.name).ok()?);
     if let Some(key) = key {
         headers.insert(IDEMPOTENCY_KEY, HeaderValue::try_from(key).ok()?);
     }
-    if let Some(host) = old.get(HOST) {
-        headers.insert(HOST, host.clone());
-    }
-    let is_query = method == Method::GET;
-    let (uri, body) = match is_query {
-        true => (format!("{}?{}", new.path, String::from_utf8(out).ok()?), Bytes::new()),
-        false => {
-            let kind = new.form.content_type(new.charset);
-            headers.insert(CONTENT_TYPE, HeaderValue::try_from(kind).ok()?);
-            (new.path.clone(), Bytes::from(out))
-        }
-    };
     let budget = class.deadline();
     let call = Call {
         method,
-        uri: uri.parse::<Uri>().ok()?,
+        uri,
         headers,
         body: Payload::Held(body),
         old: None,
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -7,12 +7,11 @@
 use crate::gauge::{Gauge, Ticket};
 use crate::intake::{check_end, fault_of, Catalogue, Checked, Fault};
 use crate::lanes::{Lane, Lanes};
-
 use crate::legacy::{self, Asked, Translated};
 use crate::metrics::{ClassCounters, Metrics, Outcome, Times};
 use crate::ops::Shown;
 use crate::seats::{End, Seat, Seats};
-use crate::upload::{Broken, Coming, HELD_MOST};
+use crate::upload::{Broken, Coming};
 use crate::wire::Wire;
 use bytes::Bytes;
 use heronhoist_config::Protocol;
@@ -372,10 +371,9 @@
         from: Side,
         served: Served,
     ) -> Result<(Response<Reply>, Vec<Notice>), String> {
-        let done = dialect::answer(mapping, from, served, HELD_MOST);
+        let done = dialect::answer(mapping, from, served);
         let done = done.inspect_err(|_| self.metrics.untranslated(&mapping.name));
-        let dialect::Translated { body, portion, notices } =
-            done.map_err(|why| format!("Its answer has no counterpart: {why}"))?;
+        let (body, portion, notices) = done.map_err(|why| format!("Its answer has no counterpart: {why}"))?;
         let mut answer = Response::new(Reply::Held(Full::new(body), Some(portion)));
         let to = mapping.dialect(from.other());
         let kind = HeaderValue::try_from(to.answers.content_type(to.charset));
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -3,6 +3,7 @@
 
 use crate::judge::{Holds, Repeats};
 use crate::record::Mode;
+use crate::speech::Speech;
 use crate::world::{Kind, Micros};
 use heronhoist_config::reader::{flag, number, tables, text, whole, Absent, Reader, Section};
 use heronhoist_config::Fault;
@@ -316,6 +317,12 @@
     let holds = holds(reader, &mut root);
     let tenants = tenants(reader, &mut root);
     let classes = classes(reader, &mut root);
+    if let (Some(Some(_)), Some(classes)) = (&mixed, &classes) {
+        // Without this such a class would be played as if all spoke alike, and nothing of it compared.
+        if let Err(name) = Speech::new(classes.iter().map(|(mix, _)| mix.name.as_str())) {
+            reader.fault(&root, "dialects", format!("class {name} has no worked mapping"));
+        }
+    }
     let servers = fleet.as_ref().map_or(usize::MAX, |fleet| fleet.servers);
     let events = events(reader, &mut root, servers, number.unwrap_or(usize::MAX), length.unwrap_or(0));
     reader.end(root);
@@ -630,6 +637,15 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_class_that_nobody_can_say_in_both_dialects_is_a_fault() {
+        let source = include_str!("../../../scenarios/mixed-rolling.toml");
+        assert!(parse(source).is_ok_and(|scenario| scenario.mixed.is_some()));
+        let faults = parse(&source.replace("\"lookup\"", "\"search\"")).err().unwrap_or_default();
+        let said: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        assert!(said.len() == 1 && said[0].contains("class search has no worked mapping"), "{said:?}");
+    }
+
     #[test]
     fn a_scenario_is_read_and_its_faults_have_places() {
         let source = include_str!("../../../scenarios/rolling-release.toml");
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -188,9 +188,11 @@
             *(if side == Side::Old { &mut count.0 } else { &mut count.1 }) += 1;
         }
         let key = speech.key_at(ask.class, side, said, asked.key());
-        let mut hasher = DefaultHasher::new();
-        key.hash(&mut hasher);
-        Some(key.map_or(ask.call as u64, |_| hasher.finish()))
+        Some(key.map_or(ask.call as u64, |key| {
+            let mut hasher = DefaultHasher::new();
+            key.hash(&mut hasher);
+            hasher.finish()
+        }))
     }
 }
 
