--- a/check.sh
+++ b/check.sh
@@ -39,6 +39,17 @@
     lab run scenarios/mixed-rolling.toml --seeds 1 --set "dialects.planted=\"$fault\"" || planted=$?
     test "$planted" -eq 1
 done
+# Several processes agree while links, processes and disks fail; and what the checkers must find (the planted faults).
+lab run scenarios/council-faults.toml --seeds 1..12
+lab run scenarios/council-permits.toml --seeds 1..12
+for fault in ack-before-sync stale-read applied-twice lease-without-margin; do
+    planted=0
+    lab run scenarios/council-faults.toml --seeds 1..12 --set "planted=\"$fault\"" || planted=$?
+    test "$planted" -eq 1
+done
+planted=0
+lab run scenarios/council-permits.toml --seeds 1..20 --set 'planted="freed-by-silence"' || planted=$?
+test "$planted" -eq 1
 # What hunt has found stays mended.
 lab run scenarios/found/all-cold.toml --seeds 27387..27392
 lab run scenarios/found/cold-and-full.toml --seeds 1064
--- /dev/null
+++ b/crates/council/src/log.rs
@@ -0,0 +1,242 @@
+//! What a council process holds of the log, and what it writes down of it. The Raft library reads it from here; a
+//! [`Disk`] keeps it.
+
+use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
+use raft::{GetEntriesContext, RaftState, Storage, StorageError};
+use std::collections::BTreeMap;
+
+/// Why a disk did not keep, or does not give back, what it was given.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct DiskFault(pub String);
+
+/// What is written down in one step: all of it, or nothing.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Save {
+    /// Term, vote and what is known to be committed.
+    pub hard: Option<Vec<u8>>,
+    /// The newest snapshot.
+    pub snapshot: Option<Vec<u8>>,
+    /// All entries that were there are replaced by those below: the snapshot came from another process.
+    pub replaces: bool,
+    /// Entries by index. What was there from the first of them on is replaced.
+    pub entries: Vec<(u64, Vec<u8>)>,
+    /// Entries up to this index are not needed any more; its term.
+    pub cut: Option<(u64, u64)>,
+}
+
+impl Save {
+    /// Nothing has to be written.
+    pub fn is_empty(&self) -> bool {
+        *self == Save::default()
+    }
+}
+
+/// All that was written down.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Image {
+    /// Term, vote and what is known to be committed.
+    pub hard: Option<Vec<u8>>,
+    /// The newest snapshot.
+    pub snapshot: Option<Vec<u8>>,
+    /// Entries by index, without a gap.
+    pub entries: BTreeMap<u64, Vec<u8>>,
+    /// What the entries follow: an index and its term.
+    pub cut: (u64, u64),
+}
+
+impl Image {
+    /// What is there after a step was written.
+    pub fn take(&mut self, save: &Save) {
+        if save.hard.is_some() {
+            self.hard.clone_from(&save.hard);
+        }
+        if save.snapshot.is_some() {
+            self.snapshot.clone_from(&save.snapshot);
+        }
+        if save.replaces {
+            self.entries.clear();
+        }
+        if let Some((first, _)) = save.entries.first() {
+            self.entries.split_off(first);
+            self.entries.extend(save.entries.iter().cloned());
+        }
+        if let Some(cut) = save.cut {
+            self.cut = cut;
+            self.entries = self.entries.split_off(&(cut.0 + 1));
+        }
+    }
+}
+
+/// Where a process writes down.
+pub trait Disk {
+    /// Keeps a step. Once this has come back without a fault, the step is there after any crash; after a fault the
+    /// process must not go on.
+    fn save(&mut self, save: &Save) -> Result<(), DiskFault>;
+}
+
+/// The log of one process.
+pub struct Log {
+    hard: HardState,
+    conf: ConfState,
+    snapshot: Snapshot,
+    entries: Vec<Entry>,
+    cut: (u64, u64),
+}
+
+fn read<M: protobuf::Message>(what: &str, bytes: &[u8]) -> Result<M, DiskFault> {
+    M::parse_from_bytes(bytes).map_err(|e| DiskFault(format!("{what} can't be read: {e}")))
+}
+
+/// Bytes of one of the library's messages.
+pub(crate) fn bytes<M: protobuf::Message>(message: &M) -> Vec<u8> {
+    // Fails only for fields that are required, which these messages do not have.
+    message.write_to_bytes().unwrap_or_default()
+}
+
+impl Log {
+    /// What was written down. A gap, an entry under a wrong index or a term and vote that do not fit are faults.
+    pub fn new(image: &Image) -> Result<Log, DiskFault> {
+        let hard: HardState =
+            image.hard.as_deref().map_or(Ok(HardState::default()), |b| read("the vote", b))?;
+        let snapshot: Snapshot =
+            image.snapshot.as_deref().map_or(Ok(Snapshot::default()), |b| read("the snapshot", b))?;
+        let mut entries = Vec::new();
+        let mut next = image.cut.0 + 1;
+        for (index, bytes) in &image.entries {
+            let entry: Entry = read(&format!("entry {index}"), bytes)?;
+            if *index != next || entry.index != next {
+                return Err(DiskFault(format!("the log has no entry {next}")));
+            }
+            next += 1;
+            entries.push(entry);
+        }
+        let at = snapshot.get_metadata().index;
+        if at < image.cut.0 || at >= next || hard.commit >= next.max(1) {
+            return Err(DiskFault(format!(
+                "the log ends at {}, before its snapshot at {at} or what was committed, {}",
+                next - 1,
+                hard.commit
+            )));
+        }
+        let conf = snapshot.get_metadata().get_conf_state().clone();
+        Ok(Log { hard, conf, snapshot, entries, cut: image.cut })
+    }
+
+    /// The newest snapshot.
+    pub fn newest(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// The index of the last entry.
+    pub fn last(&self) -> u64 {
+        self.cut.0 + self.entries.len() as u64
+    }
+
+    /// Entries that are held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no entry is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    pub(crate) fn keep_hard(&mut self, hard: HardState) {
+        self.hard = hard;
+    }
+
+    pub(crate) fn keep_commit(&mut self, commit: u64) {
+        self.hard.commit = commit;
+    }
+
+    pub(crate) fn hard(&self) -> &HardState {
+        &self.hard
+    }
+
+    pub(crate) fn keep_conf(&mut self, conf: ConfState) {
+        self.conf = conf;
+    }
+
+    pub(crate) fn conf(&self) -> &ConfState {
+        &self.conf
+    }
+
+    /// A snapshot that came takes the place of all.
+    pub(crate) fn install(&mut self, snapshot: Snapshot) {
+        let about = snapshot.get_metadata();
+        self.cut = (about.index, about.term);
+        self.conf = about.get_conf_state().clone();
+        self.entries.clear();
+        self.snapshot = snapshot;
+    }
+
+    pub(crate) fn append(&mut self, entries: &[Entry]) {
+        if let Some(first) = entries.first() {
+            self.entries.truncate(first.index.saturating_sub(self.cut.0 + 1) as usize);
+            self.entries.extend_from_slice(entries);
+        }
+    }
+
+    /// A snapshot of one's own; entries up to `keep` before it are not needed any more. Says what is cut.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot, keep: u64) -> (u64, u64) {
+        let upto = snapshot.get_metadata().index.saturating_sub(keep).max(self.cut.0);
+        let term = self.term(upto).unwrap_or(self.cut.1);
+        self.entries.drain(..(upto - self.cut.0) as usize);
+        self.cut = (upto, term);
+        self.snapshot = snapshot;
+        self.cut
+    }
+}
+
+impl Storage for Log {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        Ok(RaftState { hard_state: self.hard.clone(), conf_state: self.conf.clone() })
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        max_size: impl Into<Option<u64>>,
+        _context: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        if low <= self.cut.0 {
+            return Err(StorageError::Compacted.into());
+        }
+        if high > self.last() + 1 {
+            return Err(StorageError::Unavailable.into());
+        }
+        let place = |index: u64| (index - self.cut.0 - 1) as usize;
+        let mut entries = self.entries[place(low)..place(high)].to_vec();
+        raft::util::limit_size(&mut entries, max_size.into());
+        Ok(entries)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        if index == self.cut.0 {
+            return Ok(self.cut.1);
+        }
+        if index < self.cut.0 {
+            return Err(StorageError::Compacted.into());
+        }
+        let entry = self.entries.get((index - self.cut.0 - 1) as usize);
+        entry.map(|entry| entry.term).ok_or(StorageError::Unavailable.into())
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        Ok(self.cut.0 + 1)
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        Ok(self.last())
+    }
+
+    fn snapshot(&self, request_index: u64, _to: u64) -> raft::Result<Snapshot> {
+        if self.snapshot.get_metadata().index < request_index {
+            return Err(StorageError::SnapshotTemporarilyUnavailable.into());
+        }
+        Ok(self.snapshot.clone())
+    }
+}
--- /dev/null
+++ b/crates/council/tests/state.rs
@@ -0,0 +1,186 @@
+//! The agreed state: what is carried out once, checked where it is taken, kept within bounds and told to watchers.
+
+use heronhoist_council::state::{Call, Changed, Check, Command, Reply, Standing, State, Txn, Write};
+use heronhoist_council::Bounds;
+use std::collections::BTreeMap;
+
+fn state() -> State {
+    State::new(7, BTreeMap::new())
+}
+
+fn call(command: Command) -> Call {
+    Call { session: None, command }
+}
+
+fn join(name: &str, nonce: u64) -> Call {
+    let [site, version, address] = ["east", "1", "127.0.0.1:1"].map(String::from);
+    call(Command::Join { name: name.into(), nonce, site, version, address })
+}
+
+fn put(key: &str, value: &str) -> Command {
+    Command::Write(Txn { checks: Vec::new(), writes: vec![Write::Put(key.into(), value.into())] })
+}
+
+fn swap(check: Check, key: &str, value: &str) -> Call {
+    call(Command::Write(Txn { checks: vec![check], writes: vec![Write::Put(key.into(), value.into())] }))
+}
+
+fn incarnation(reply: &Reply) -> u64 {
+    match reply {
+        Reply::Joined { incarnation } => *incarnation,
+        other => panic!("not joined: {other:?}"),
+    }
+}
+
+#[test]
+fn a_command_whose_reply_was_lost_is_carried_out_once() {
+    let (mut state, bounds) = (state(), Bounds::default());
+    let Reply::Opened(session) = state.apply(&call(Command::Open), &bounds) else { panic!("no session") };
+    let first = Call { session: Some((session, 1)), command: put("note/a", "1") };
+    let done = state.apply(&first, &bounds);
+    state.apply(&call(put("note/a", "2")), &bounds);
+    assert_eq!(state.apply(&first, &bounds), done, "the same answer");
+    assert_eq!(state.records["note/a"].value, "2", "and no second effect");
+    let second = Call { session: Some((session, 2)), command: put("note/b", "1") };
+    assert!(matches!(state.apply(&second, &bounds), Reply::Done(_)));
+    assert_eq!(state.apply(&first, &bounds), Reply::Outdated, "a late copy of an older one does nothing");
+    let other = Call { session: Some((session + 1, 1)), command: put("note/b", "9") };
+    assert_eq!(state.apply(&other, &bounds), Reply::NoSession);
+}
+
+#[test]
+fn checks_and_writes_are_one_step_over_several_records() {
+    let (mut state, bounds) = (state(), Bounds::default());
+    let Reply::Done(at) = state.apply(&call(put("budget/x", "0")), &bounds) else { panic!("not written") };
+    let both = Txn {
+        checks: vec![Check::At("budget/x".into(), at), Check::Absent("permit/x".into())],
+        writes: vec![Write::Put("budget/x".into(), "1".into()), Write::Put("permit/x".into(), "n1".into())],
+    };
+    assert!(matches!(state.apply(&call(Command::Write(both.clone())), &bounds), Reply::Done(_)));
+    assert_eq!(state.apply(&call(Command::Write(both)), &bounds), Reply::Conflict { check: 0 });
+    assert_eq!(
+        state.apply(&swap(Check::Absent("permit/x".into()), "budget/x", "9"), &bounds),
+        Reply::Conflict { check: 0 }
+    );
+    assert_eq!(state.records["budget/x"].value, "1", "what conflicts changes nothing");
+    let twice = Txn { checks: Vec::new(), writes: vec![Write::Delete("note/a".into()); 2] };
+    assert!(matches!(state.apply(&call(Command::Write(twice)), &bounds), Reply::Refused(_)));
+    for key in ["nothing", "note/", "other/x", "note/\n"] {
+        assert!(matches!(state.apply(&call(put(key, "1")), &bounds), Reply::Refused(_)), "{key:?}");
+    }
+}
+
+#[test]
+fn a_name_has_one_living_incarnation() {
+    let (mut state, bounds) = (state(), Bounds::default());
+    let first = incarnation(&state.apply(&join("n1", 1), &bounds));
+    assert_eq!(incarnation(&state.apply(&join("n1", 1), &bounds)), first, "a repeat is known by its nonce");
+    assert_eq!(state.apply(&join("n1", 2), &bounds), Reply::Wait { incarnation: first });
+    assert_eq!(state.members["n1"].standing, Standing::Superseded);
+    assert!(matches!(
+        state.apply(&swap(Check::Living("n1".into(), first), "note/a", "1"), &bounds),
+        Reply::Conflict { .. }
+    ));
+    assert!(matches!(
+        state.apply(&swap(Check::Ended("n1".into(), first), "note/a", "1"), &bounds),
+        Reply::Conflict { .. }
+    ));
+    state.apply(&call(Command::Expire(vec![("n1".into(), first)])), &bounds);
+    let second = incarnation(&state.apply(&join("n1", 2), &bounds));
+    assert!(second > first);
+    assert!(matches!(
+        state.apply(&swap(Check::Ended("n1".into(), first), "note/a", "1"), &bounds),
+        Reply::Done(_)
+    ));
+    let late = Command::Report { name: "n1".into(), incarnation: first, ready: true };
+    assert_eq!(state.apply(&call(late), &bounds), Reply::NotLiving);
+    assert!(!state.members["n1"].ready);
+}
+
+#[test]
+fn what_is_over_a_bound_is_refused_by_its_name_and_may_be_made_smaller() {
+    let bounds = Bounds {
+        members: 1,
+        records: 2,
+        state_bytes: 64,
+        record_bytes: 40,
+        sessions: 2,
+        ..Bounds::default()
+    };
+    let mut state = state();
+    let over = |reply: Reply| match reply {
+        Reply::Over(excess) => excess.bound,
+        other => panic!("{other:?}"),
+    };
+    state.apply(&join("n1", 1), &bounds);
+    assert_eq!(over(state.apply(&join("n2", 1), &bounds)), "members");
+    assert_eq!(over(state.apply(&call(put("note/a", &"x".repeat(41))), &bounds)), "record_bytes");
+    state.apply(&call(put("note/a", &"x".repeat(40))), &bounds);
+    assert_eq!(over(state.apply(&call(put("note/b", &"x".repeat(40))), &bounds)), "state_bytes");
+    assert!(matches!(state.apply(&call(put("note/b", "x")), &bounds), Reply::Done(_)));
+    assert_eq!(over(state.apply(&call(put("note/c", "")), &bounds)), "records");
+    let tighter = Bounds { state_bytes: 10, ..bounds.clone() };
+    assert!(matches!(state.apply(&call(put("note/a", "x")), &tighter), Reply::Done(_)));
+    // Sessions make room, a living member's last of all.
+    let open = |state: &mut State| match state.apply(&call(Command::Open), &bounds) {
+        Reply::Opened(session) => session,
+        other => panic!("{other:?}"),
+    };
+    let first = open(&mut state);
+    let second = open(&mut state);
+    let under = |session| Call { session: Some((session, 1)), command: put("note/a", "y") };
+    assert_eq!(state.apply(&under(first), &bounds), Reply::NoSession);
+    assert!(matches!(state.apply(&under(second), &bounds), Reply::Done(_)));
+    let member = state.members["n1"].incarnation;
+    assert!(matches!(state.apply(&under(member), &bounds), Reply::Done(_)));
+}
+
+#[test]
+fn watchers_miss_nothing_or_are_told_that_they_did() {
+    let bounds = Bounds { changes: 64, ..Bounds::default() };
+    let mut state = state();
+    let pair = Txn {
+        checks: Vec::new(),
+        writes: vec![Write::Put("note/a".into(), "1".into()), Write::Put("note/b".into(), "1".into())],
+    };
+    for _ in 0..20 {
+        state.apply(&call(Command::Write(pair.clone())), &bounds);
+    }
+    let (mut at, mut seen) = (0, 0);
+    loop {
+        let (changes, upto) = state.changes_after(at, 3).expect("all are kept");
+        if changes.is_empty() {
+            break;
+        }
+        assert!(changes.iter().all(|change| change.revision > at && change.revision <= upto));
+        assert_eq!(changes.len() % 2, 0, "a revision is not cut in two");
+        seen += changes.len();
+        at = upto;
+    }
+    assert_eq!((at, seen), (state.revision, 40));
+    for _ in 0..100 {
+        state.apply(&call(Command::Write(pair.clone())), &bounds);
+    }
+    let gone = state.changes_after(at, 3).expect_err("too long away");
+    let (changes, _) = state.changes_after(gone.oldest, usize::MAX).expect("from the oldest on");
+    assert_eq!(changes.first().map(|change| change.revision), Some(gone.oldest + 1));
+    assert!(matches!(&changes[0].what, Changed::Record(key, Some(_)) if key == "note/a"));
+}
+
+#[test]
+fn a_restored_copy_is_another_history_in_which_nobody_lives_and_nothing_is_freed() {
+    let (mut state, bounds) = (state(), Bounds::default());
+    let first = incarnation(&state.apply(&join("n1", 1), &bounds));
+    state.apply(&call(put("budget/x", "taken")), &bounds);
+    let copy = state.clone();
+    let later = (0..50).map(|nonce| state.apply(&join(&format!("m{nonce}"), nonce), &bounds)).last();
+    let later = incarnation(&later.expect("one"));
+    let mut restored = copy.restored(8, BTreeMap::new());
+    assert_eq!((restored.history, restored.members["n1"].standing), (8, Standing::Expired));
+    assert_eq!(restored.records["budget/x"].value, "taken");
+    assert!(restored.changes_after(first, 9).is_err(), "watchers of the old history read all");
+    assert!(
+        incarnation(&restored.apply(&join("n1", 2), &bounds)) > later,
+        "above all that was numbered since the copy"
+    );
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,6 +11,7 @@
 mod planted;
 mod play;
 mod policy;
+mod processes;
 mod real;
 mod record;
 mod registry;
@@ -269,6 +270,10 @@
     match command {
         Command::Check { files } => {
             for file in files {
+                if let Some(plan) = agreed(&file, &[])? {
+                    say(&format!("{}: {} is sound", file.display(), plan.name));
+                    continue;
+                }
                 let scenario = read(&file)?.scenario()?;
                 say(&format!("{}: {} is sound", file.display(), scenario.name));
             }
@@ -335,11 +340,46 @@
     )
 }
 
+/// A scenario of several processes that agree, with changes.
+fn agreed(file: &Path, set: &[(String, String)]) -> Result<Option<processes::plan::Plan>, String> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|e| format!("heronhoist-lab: cannot read {}: {e}", file.display()))?;
+    if !processes::plan::is_one(&text) {
+        return Ok(None);
+    }
+    let parse = |text: &str| {
+        processes::plan::parse(text).map_err(|faults| {
+            let lines: Vec<String> =
+                faults.iter().map(|fault| format!("{}:{fault}", file.display())).collect();
+            lines.join("\n")
+        })
+    };
+    let plan = parse(&text)?;
+    if set.is_empty() {
+        return Ok(Some(plan));
+    }
+    let mut source = Source::new(&text)?;
+    for (path, value) in set {
+        source.set(path, value)?;
+    }
+    parse(&source.text()).map(Some)
+}
+
 fn run(file: &Path, mut how: How) -> Result<bool, String> {
     let mut set = Vec::new();
     for (path, values) in sets(&how.set)? {
         set.push((path, values.join(",")));
     }
+    if let Some(plan) = agreed(file, &set)? {
+        say(&format!(
+            "{}, virtual mode: {} council processes, {} agents, {} s of faults",
+            plan.name,
+            plan.council,
+            plan.agents,
+            plan.length / 1_000_000
+        ));
+        return Ok(processes::run(&plan, how.seeds, how.threads, say));
+    }
     let source = changed(&read(file)?, &set)?;
     let scenario = source.scenario()?;
     if how.out.is_none() && scenario.mode == Mode::Real && !how.simulated {
--- /dev/null
+++ b/crates/lab/src/processes/judge.rs
@@ -0,0 +1,290 @@
+//! Judges what processes did, from outside: by what was asked and answered, and by when each believed to hold its lease.
+//! Whether operations on a record can stand in one order is decided by a published checker.
+
+use crate::world::Micros;
+use heronhoist_council::state::{Change, Revision};
+use std::collections::{BTreeMap, HashMap};
+use todc_utils::linearizability::history::{Action, History};
+use todc_utils::linearizability::WGLChecker;
+use todc_utils::specifications::Specification;
+
+/// What a client did to one record. Values are never written twice, so a value stands for its revision too.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Op {
+    /// It read this.
+    Read(Option<u64>),
+    /// It wrote this, whatever stood there.
+    Put(u64),
+    /// It wrote the second if the first stood there; whether it did.
+    Swap(Option<u64>, u64, bool),
+    /// Nobody knows whether the second was written, which asks for the first.
+    MaybeSwap(Option<u64>, u64),
+    /// Nobody knows whether this was written.
+    MaybePut(u64),
+}
+
+struct Register;
+
+impl Specification for Register {
+    type State = Option<u64>;
+    type Operation = Op;
+
+    fn init() -> Self::State {
+        None
+    }
+
+    fn apply(op: &Op, state: &Self::State) -> (bool, Self::State) {
+        match *op {
+            Op::Read(value) => (value == *state, *state),
+            Op::Put(new) | Op::MaybePut(new) => (true, Some(new)),
+            Op::Swap(old, new, true) => (old == *state, Some(new)),
+            Op::Swap(old, _, false) => (old != *state, *state),
+            Op::MaybeSwap(old, new) => (true, if old == *state { Some(new) } else { *state }),
+        }
+    }
+}
+
+/// One operation, from its call to its return; none if it never came.
+#[derive(Debug, Clone)]
+pub struct Done {
+    /// Of which record.
+    pub key: String,
+    /// What, with its outcome.
+    pub op: Op,
+    /// When it was called.
+    pub called: Micros,
+    /// When its outcome was known; none if it never was.
+    pub returned: Option<Micros>,
+}
+
+/// When a process believed that it held a lease.
+#[derive(Debug, Clone)]
+pub struct Belief {
+    /// Whose.
+    pub name: String,
+    /// Which process of that name.
+    pub incarnation: u64,
+    /// From when,
+    pub from: Micros,
+    /// to when, of true time.
+    pub to: Micros,
+}
+
+/// What a watcher was told, one after the other.
+#[derive(Debug, Clone, Default)]
+pub struct Watched {
+    /// For each time it read all: the history, the revision that it read, and the changes that it was told from there.
+    pub stretches: Vec<(u64, Revision, Vec<Change>, Revision)>,
+}
+
+/// When something was out by a permit.
+#[derive(Debug, Clone)]
+pub struct Out {
+    /// Under which budget.
+    pub budget: String,
+    /// What.
+    pub what: String,
+    /// From when,
+    pub from: Micros,
+    /// to when it was seen serving.
+    pub to: Option<Micros>,
+}
+
+/// All that was seen.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// What clients did.
+    pub done: Vec<Done>,
+    /// Who believed what.
+    pub beliefs: Vec<Belief>,
+    /// When the council counted the lease of a name and incarnation as ended.
+    pub ended: HashMap<(String, u64), Micros>,
+    /// All changes in order, as they were agreed.
+    pub changes: Vec<Change>,
+    /// What watchers were told.
+    pub watched: Vec<Watched>,
+    /// What was out.
+    pub outs: Vec<Out>,
+    /// Other things that must not be, in words.
+    pub wrongs: Vec<String>,
+}
+
+/// All that is wrong, a line each; empty if all held.
+pub fn judge(seen: &Seen, permits: u32) -> Vec<String> {
+    let mut wrongs = seen.wrongs.clone();
+    wrongs.extend(one_order(&seen.done));
+    wrongs.extend(one_holder(&seen.beliefs, &seen.ended));
+    wrongs
+        .extend(seen.watched.iter().enumerate().flat_map(|(n, watched)| gapless(n, watched, &seen.changes)));
+    wrongs.extend(within_budget(&seen.outs, permits));
+    wrongs
+}
+
+/// Operations on each record must stand in one order that real time allows.
+fn one_order(done: &[Done]) -> Vec<String> {
+    let mut by_key: BTreeMap<&str, Vec<&Done>> = BTreeMap::new();
+    for one in done {
+        by_key.entry(&one.key).or_default().push(one);
+    }
+    let mut wrongs = Vec::new();
+    for (key, done) in by_key {
+        // A read that never came back says nothing.
+        let done: Vec<&Done> =
+            done.into_iter().filter(|one| one.returned.is_some() || !matches!(one.op, Op::Read(_))).collect();
+        let mut marks: Vec<(Micros, u8, usize)> = Vec::new();
+        for (number, one) in done.iter().enumerate() {
+            marks.push((one.called, 0, number));
+            // One whose outcome is unknown may take place at any time from its call on.
+            marks.push((one.returned.unwrap_or(Micros::MAX), 1, number));
+        }
+        marks.sort_unstable();
+        let action = |(_, end, number): (Micros, u8, usize)| {
+            let op = done[number].op;
+            (number, if end == 0 { Action::Call(op) } else { Action::Response(op) })
+        };
+        let actions: Vec<_> = marks.into_iter().map(action).collect();
+        if !actions.is_empty() && !WGLChecker::<Register>::is_linearizable(History::from_actions(actions)) {
+            let ops: Vec<String> =
+                done.iter().map(|one| format!("{:?}@{}..{:?}", one.op, one.called, one.returned)).collect();
+            wrongs.push(format!("record {key}: no one order of {}", ops.join(" ")));
+        }
+    }
+    wrongs
+}
+
+/// No two processes of a name believe that they hold its lease, and none does once the council counts it as ended.
+fn one_holder(beliefs: &[Belief], ended: &HashMap<(String, u64), Micros>) -> Vec<String> {
+    let mut wrongs = Vec::new();
+    let mut by_name: BTreeMap<&str, Vec<&Belief>> = BTreeMap::new();
+    for belief in beliefs.iter().filter(|belief| belief.from < belief.to) {
+        by_name.entry(&belief.name).or_default().push(belief);
+        let end = ended.get(&(belief.name.clone(), belief.incarnation));
+        if let Some(end) = end.filter(|end| **end < belief.to) {
+            wrongs.push(format!(
+                "{} {} believed in its lease until {}, which had ended at {end}",
+                belief.name, belief.incarnation, belief.to
+            ));
+        }
+    }
+    for (name, mut beliefs) in by_name {
+        beliefs.sort_by_key(|belief| belief.from);
+        let mut last: Option<&Belief> = None;
+        for belief in beliefs {
+            if let Some(last) =
+                last.filter(|last| last.incarnation != belief.incarnation && belief.from < last.to)
+            {
+                wrongs.push(format!(
+                    "{name}: {} and {} believed at {} that they held one lease",
+                    last.incarnation, belief.incarnation, belief.from
+                ));
+            }
+            if last.is_none_or(|last| last.to < belief.to) {
+                last = Some(belief);
+            }
+        }
+    }
+    wrongs
+}
+
+/// A watcher is told every change after what it read, once and in order.
+fn gapless(number: usize, watched: &Watched, changes: &[Change]) -> Vec<String> {
+    let mut wrongs = Vec::new();
+    let mut before = 0;
+    for (_, from, told, upto) in &watched.stretches {
+        if *from < before {
+            wrongs.push(format!("watcher {number} had seen revision {before}, and was shown {from}"));
+        }
+        before = before.max(*upto);
+        let meant: Vec<&Change> =
+            changes.iter().filter(|c| c.revision > *from && c.revision <= *upto).collect();
+        if !told.iter().eq(meant.iter().copied()) {
+            wrongs.push(format!(
+                "watcher {number} was told {} changes from {from} to {upto}, and there were {}",
+                told.len(),
+                meant.len()
+            ));
+        }
+    }
+    wrongs
+}
+
+/// Never more out by permits than are stated.
+fn within_budget(outs: &[Out], permits: u32) -> Vec<String> {
+    let mut wrongs = Vec::new();
+    for at in outs {
+        let same = outs.iter().filter(|out| out.budget == at.budget);
+        let mut with: Vec<&str> = same
+            .filter(|out| out.from <= at.from && out.to.is_none_or(|to| to > at.from))
+            .map(|out| out.what.as_str())
+            .collect();
+        with.sort_unstable();
+        with.dedup();
+        if with.len() > permits as usize {
+            wrongs.push(format!(
+                "{}: {} were out at {} by permits, of {permits}",
+                at.budget,
+                with.join(", "),
+                at.from
+            ));
+        }
+    }
+    wrongs
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn done(op: Op, called: Micros, returned: Option<Micros>) -> Done {
+        Done { key: "note/x".into(), op, called, returned }
+    }
+
+    #[test]
+    fn an_order_is_found_where_there_is_one_and_only_there() {
+        let sound = [
+            done(Op::Put(1), 0, Some(10)),
+            done(Op::MaybeSwap(Some(1), 2), 12, None),
+            done(Op::Read(Some(1)), 13, Some(14)),
+            done(Op::Read(Some(2)), 20, Some(30)),
+            done(Op::Swap(Some(1), 3, false), 31, Some(40)),
+        ];
+        assert_eq!(one_order(&sound), Vec::<String>::new());
+        let stale = [
+            done(Op::Put(1), 0, Some(10)),
+            done(Op::Put(2), 11, Some(12)),
+            done(Op::Read(Some(1)), 13, Some(14)),
+        ];
+        assert_eq!(one_order(&stale).len(), 1);
+        let lost = [done(Op::Put(1), 0, Some(10)), done(Op::Read(None), 13, Some(14))];
+        assert_eq!(one_order(&lost).len(), 1);
+        let twice = [
+            done(Op::Put(1), 0, Some(20)),
+            done(Op::Read(Some(1)), 2, Some(3)),
+            done(Op::Put(2), 4, Some(5)),
+            done(Op::Read(Some(2)), 6, Some(7)),
+            done(Op::Read(Some(1)), 8, Some(9)),
+        ];
+        assert_eq!(one_order(&twice).len(), 1);
+    }
+
+    #[test]
+    fn two_holders_gaps_and_overdrawn_budgets_are_seen() {
+        let belief = |incarnation, from, to| Belief { name: "a".into(), incarnation, from, to };
+        let none = HashMap::new();
+        assert!(one_holder(&[belief(1, 0, 10), belief(2, 10, 20)], &none).is_empty());
+        assert_eq!(one_holder(&[belief(1, 0, 11), belief(2, 10, 20)], &none).len(), 1);
+        let ended = HashMap::from([(("a".to_string(), 1), 9)]);
+        assert_eq!(one_holder(&[belief(1, 0, 10)], &ended).len(), 1);
+        let what = heronhoist_council::state::Changed::Record("note/x".into(), None);
+        let change = |revision| Change { revision, what: what.clone() };
+        let changes = [change(1), change(2), change(3)];
+        let watched = |told: &[Revision], upto| Watched {
+            stretches: vec![(1, 1, told.iter().map(|r| change(*r)).collect(), upto)],
+        };
+        assert!(gapless(0, &watched(&[2, 3], 3), &changes).is_empty());
+        assert_eq!(gapless(0, &watched(&[3], 3), &changes).len(), 1);
+        let out = |what: &str, from, to| Out { budget: "b".into(), what: what.into(), from, to };
+        assert!(within_budget(&[out("x", 0, Some(5)), out("y", 5, None)], 1).is_empty());
+        assert_eq!(within_budget(&[out("x", 0, Some(6)), out("y", 5, None)], 1).len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/processes/mod.rs
@@ -0,0 +1,138 @@
+//! Scenarios of several processes that agree, their links and their disks: played, and judged from outside.
+
+pub mod judge;
+pub mod plan;
+pub mod world;
+
+use plan::Plan;
+use std::fmt::Write as _;
+use std::ops::RangeInclusive;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+/// One seed's run, judged.
+#[derive(Debug)]
+pub struct Played {
+    /// The seed.
+    pub seed: u64,
+    /// What it came to.
+    pub outcome: world::Outcome,
+    /// What was wrong.
+    pub wrongs: Vec<String>,
+}
+
+/// Plays seeds in simulated time, so many side by side; each is given to `each` as it ends.
+pub fn simulate(plan: &Plan, seeds: RangeInclusive<u64>, threads: usize, each: impl FnMut(Played) + Send) {
+    let next = AtomicU64::new(*seeds.start());
+    let each = Mutex::new(each);
+    std::thread::scope(|scope| {
+        for _ in 0..threads.clamp(1, 64) {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed > *seeds.end() || crate::stage::INTERRUPTED.load(Ordering::Relaxed) {
+                    return;
+                }
+                let outcome = world::play(plan, seed);
+                let wrongs = judge::judge(&outcome.seen, plan.permits);
+                let mut each = each.lock().unwrap_or_else(|broken| broken.into_inner());
+                each(Played { seed, outcome, wrongs });
+            });
+        }
+    });
+}
+
+/// A line for each seed that is wrong, and one for all; whether all held.
+pub fn run(
+    plan: &Plan,
+    seeds: RangeInclusive<u64>,
+    threads: usize,
+    mut say: impl FnMut(&str) + Send,
+) -> bool {
+    let count = seeds.end() - seeds.start() + 1;
+    let (mut broken, mut played) = (0, 0);
+    let mut sums = [0usize; 6];
+    let mut leaderless: Vec<f64> = Vec::new();
+    let many = count > 5;
+    simulate(plan, seeds, threads, |one| {
+        played += 1;
+        let Played { seed, outcome, wrongs } = one;
+        let figures = [
+            outcome.settled,
+            outcome.unknown,
+            outcome.faults,
+            outcome.leaders,
+            outcome.permits,
+            outcome.seen.beliefs.len(),
+        ];
+        sums.iter_mut().zip(figures).for_each(|(sum, figure)| *sum += figure);
+        leaderless.extend(outcome.leaderless);
+        if !many || !wrongs.is_empty() {
+            let mut line = format!(
+                "seed {seed}: {} operations, {} of unknown outcome, {} faults, {} leaders, {} permits, digest {:016x}: ",
+                figures[0], figures[1], figures[2], figures[3], figures[4], outcome.digest
+            );
+            line += if wrongs.is_empty() { "held" } else { "BROKEN" };
+            for wrong in wrongs.iter().take(5) {
+                let cut: String = wrong.chars().take(600).collect();
+                let _ = write!(line, "\n  {cut}");
+            }
+            say(&line);
+        }
+        broken += usize::from(!wrongs.is_empty());
+    });
+    leaderless.sort_by(f64::total_cmp);
+    let part =
+        |share: f64| leaderless.get((leaderless.len() as f64 * share) as usize).copied().unwrap_or(0.0);
+    say(&format!(
+        "{played} of {count} seeds, {} operations ({} of unknown outcome), {} faults, {} leaders, {} permits, {} leases held\n\
+         without a leader, in election timeouts: p50 {:.1}, p90 {:.1}, p99 {:.1} of {}\n{}",
+        sums[0], sums[1], sums[2], sums[3], sums[4], sums[5],
+        part(0.5), part(0.9), part(0.99), leaderless.len(),
+        if broken == 0 && played == count { "all that must hold held".into() } else { format!("NOT all held: {broken} seeds broken") }
+    ));
+    broken == 0 && played == count
+}
+
+#[cfg(test)]
+mod tests {
+    use super::plan::Planted;
+    use super::*;
+
+    fn plan(text: &str) -> Plan {
+        plan::parse(text).expect("sound")
+    }
+
+    const FAULTS: &str = include_str!("../../../../scenarios/council-faults.toml");
+
+    #[test]
+    fn a_seed_is_one_run() {
+        let mut plan = plan(FAULTS);
+        plan.length = 8_000_000;
+        let [first, again, other] = [3, 3, 4].map(|seed| world::play(&plan, seed).digest);
+        assert_eq!(first, again);
+        assert_ne!(first, other);
+    }
+
+    #[test]
+    fn a_council_without_faults_settles_every_operation_under_one_leader() {
+        let mut plan = plan(FAULTS);
+        (plan.length, plan.every) = (8_000_000, 0);
+        let outcome = world::play(&plan, 1);
+        assert_eq!(judge::judge(&outcome.seen, plan.permits), Vec::<String>::new());
+        assert_eq!((outcome.unknown, outcome.leaders), (0, 1));
+        assert!(outcome.settled > 100, "{}", outcome.settled);
+        assert_eq!(plan.planted, Planted::Nothing);
+    }
+
+    #[test]
+    fn faults_of_scenarios_are_told_with_their_place() {
+        let faults = plan::parse("name = \"x\"\nlength_ms = 1000\n[council]\nprocesses = 10\nterm = 3\n")
+            .expect_err("two");
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        assert_eq!(lines.len(), 2, "{lines:?}");
+        assert!(
+            lines[0].starts_with("4:13: council.processes") && lines[1].starts_with("5:1: council.term"),
+            "{lines:?}"
+        );
+    }
+}
