Run a council of one, three or five processes, with agents, permits and operators' commands

The agreed state needed processes that keep it, agents that take part, and a first use from end to end.

An agent with [fleet] joins, renews its lease, says whether it can serve and gives back the permit for itself; fleet status, permits, free, forget, replace, add, remove, copy and hold are the operators' commands.

Pauses between a holder's tries now stay under an eighth of the term: with 2 s of back-off and a term of 3 s one of three agents lost its lease after a new leader was found.

--- a/check.sh
+++ b/check.sh
@@ -41,6 +41,7 @@
 done
 # Several processes agree while links, processes and disks fail; and what the checkers must find (the planted faults).
 lab run scenarios/council-faults.toml --seeds 1..12
+lab run scenarios/council-faults.toml --seeds 1..4 --set council.log_entries=4096 # who is taken in catches up
 lab run scenarios/council-permits.toml --seeds 1..12
 for fault in ack-before-sync stale-read applied-twice lease-without-margin; do
     planted=0
--- a/crates/agent/src/cli.rs
+++ b/crates/agent/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use crate::config::{Config, Unusable};
+use crate::fleet::{hold, tools};
 use crate::log;
 use crate::plan::{Members, Plan, PoolPlan};
 use crate::translate;
@@ -8,7 +9,7 @@
 use heronhoist_decision::Effect;
 use std::fmt::Write as _;
 use std::io::{self, Write};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// Carries an application's requests to a fleet of record servers, giving each exactly one final answer.
@@ -48,6 +49,21 @@
         #[command(subcommand)]
         command: translate::Command,
     },
+    /// Run a process of the fleet's council until SIGTERM.
+    Council {
+        /// Its file, as deploy/council.toml.
+        #[arg(short, long, value_name = "FILE")]
+        config: PathBuf,
+        /// Begin anew, alone, with a copy that `heronhoist fleet copy` wrote; only on a new disk.
+        #[arg(long, value_name = "COPY")]
+        restore: Option<PathBuf>,
+    },
+    /// Ask the fleet's council, and tell it what operators want.
+    Fleet {
+        #[command(subcommand)]
+        tool: tools::Tool,
+    },
+    Hold(hold::Hold),
     /// Write a completion script for a shell to standard output.
     Completions {
         /// The shell.
@@ -76,6 +92,15 @@
                 ExitCode::from(1)
             }
         },
+        Some(Command::Council { config, restore }) => council(&config, restore.as_deref()),
+        Some(Command::Fleet { tool }) => match aside(tools::run(tool)) {
+            Ok(Ok(text)) => print(&text),
+            Ok(Err(fault)) | Err(fault) => fail(&fault, 1),
+        },
+        Some(Command::Hold(what)) => match aside(hold::run(what)) {
+            Ok(code) => ExitCode::from(code),
+            Err(fault) => fail(&fault, 1),
+        },
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Arguments::command(), "heronhoist", &mut io::stdout());
             ExitCode::SUCCESS
@@ -83,6 +108,34 @@
     }
 }
 
+/// A command that calls other processes.
+fn aside<T>(what: impl std::future::Future<Output = T>) -> Result<T, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"))?;
+    Ok(tokio::task::LocalSet::new().block_on(&runtime, what))
+}
+
+fn council(path: &Path, restore: Option<&Path>) -> ExitCode {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(e) => return fail(&format!("cannot read {}: {e}", path.display()), UNREAD),
+    };
+    let variable = |name: &str| std::env::var(name).ok();
+    let config = match heronhoist_config::parse_council(&text, &variable) {
+        Ok(config) => config,
+        Err(faults) => return fail(&Unusable::Faults(path.into(), faults).to_string(), 1),
+    };
+    let log::Wanted { format, levels, per_second } = log::Wanted::default();
+    match levels.parse() {
+        Ok(levels) => log::start(format, levels, per_second),
+        Err(e) => return fail(&format!("log level {levels:?}: {e}"), 1),
+    }
+    match crate::fleet::council::run(config, path.parent().unwrap_or(Path::new("")), restore) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => fail(&fault, 1),
+    }
+}
+
 fn load(file: Option<PathBuf>) -> Result<Config, Unusable> {
     file.map_or_else(Config::from_env, |file| Config::from_file(&file))
 }
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -90,6 +90,8 @@
     pub ops: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
+    /// How it takes part in a fleet; the platform's never does.
+    pub fleet: Option<heronhoist_config::Fleet>,
     /// What its processes may hold together.
     limits: Limits,
     /// The list as this agent last had it.
@@ -310,6 +312,7 @@
         ("front", old.fronts == new.fronts),
         ("ops.listen", old.ops == new.ops),
         ("limits", (old.sockets, old.memory_mb) == (new.sockets, new.memory_mb)),
+        ("fleet", old.fleet == new.fleet),
         ("log", (old.log_format, &old.log_level) == (new.log_format, &new.log_level)),
     ];
     parts.into_iter().find(|(_, same)| !same).map(|(key, _)| key)
@@ -353,6 +356,7 @@
         Ok(Config {
             fronts: file.fronts.iter().map(front).collect(),
             ops: file.ops,
+            fleet: file.fleet.clone(),
             seed: std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), std::process::id()),
             limits: Limits { sockets: Some(file.sockets), memory_mb: Some(file.memory_mb) },
             known: None,
@@ -486,6 +490,7 @@
                 listen: address("listen", places.listen.or(file.listen))?,
                 protocol: Protocol::Http,
             }],
+            fleet: None,
             ops: places.ops.or(file.ops).map(|text| address("ops", Some(text))).transpose()?,
             seed: file.seed.map_or(0, |seed| seed_number(&seed)),
             limits: Limits { sockets: Some(sockets), ..file.limits },
--- /dev/null
+++ b/crates/agent/src/fleet/member.rs
@@ -0,0 +1,223 @@
+//! The agent as a member of its fleet: it joins, renews its lease, says whether it can serve, and gives back the permit for
+//! itself once it serves again. Nothing of serving waits for it.
+
+use super::link::{Asker, Asking};
+use heronhoist_config::Fleet;
+use heronhoist_council::caller::DEADLINE;
+use heronhoist_council::desk::WATCH_WAIT;
+use heronhoist_council::holder::{About, Holder, Stand};
+use heronhoist_council::permit;
+use heronhoist_council::state::{Call, Command};
+use heronhoist_council::wire::{Envelope, Request, Response, PROTOCOL};
+use heronhoist_council::Time;
+use std::cell::{Cell, RefCell};
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{sleep, Instant};
+
+/// How often it is looked whether the agent can serve.
+const LOOK_EVERY: Time = 100_000;
+/// A last word to the council takes no longer.
+const LEAVE_WAIT: Duration = Duration::from_millis(500);
+/// How often the agent looks at a permit that is out for itself.
+const OUT_LOOK: Duration = Duration::from_millis(500);
+/// Pause before permits are looked at again after something went wrong.
+const PERMIT_PAUSE: Duration = Duration::from_secs(2);
+
+/// The agent's part in its fleet.
+pub struct Member {
+    fleet: Fleet,
+    holder: RefCell<Holder>,
+    begun: Instant,
+    answered: Cell<Instant>,
+    renewals: Cell<u64>,
+    failures: Cell<u64>,
+    tasks: RefCell<Vec<AbortHandle>>,
+}
+
+impl Member {
+    /// Takes part from now on. `ready` says whether the agent can serve.
+    pub fn start(fleet: &Fleet, ops: Option<SocketAddr>, ready: impl Fn() -> bool + 'static) -> Rc<Member> {
+        let about = About {
+            name: fleet.member.clone(),
+            site: fleet.site.clone(),
+            version: env!("CARGO_PKG_VERSION").into(),
+            address: ops.map_or_else(String::new, |ops| ops.to_string()),
+        };
+        let begun = Instant::now();
+        let member = Rc::new(Member {
+            fleet: fleet.clone(),
+            holder: RefCell::new(Holder::new(about, fastrand::u64(..), 0)),
+            begun,
+            answered: Cell::new(begun),
+            renewals: Cell::new(0),
+            failures: Cell::new(0),
+            tasks: RefCell::default(),
+        });
+        let ready = Rc::new(ready);
+        let lease = spawn_local(Rc::clone(&member).keep_lease(Rc::clone(&ready)));
+        let permits = spawn_local(Rc::clone(&member).keep_permits(ready));
+        member.tasks.borrow_mut().extend([lease.abort_handle(), permits.abort_handle()]);
+        member
+    }
+
+    fn now(&self) -> Time {
+        self.begun.elapsed().as_micros() as Time
+    }
+
+    /// The incarnation that something may rest on at this moment, if the lease is still there.
+    pub fn holds(&self) -> Option<u64> {
+        self.holder.borrow().holds(self.now())
+    }
+
+    fn envelope(&self) -> Envelope {
+        let holder = self.holder.borrow();
+        let (from, incarnation) = (self.fleet.member.clone(), holder.incarnation());
+        Envelope { fleet: self.fleet.name.clone(), protocol: PROTOCOL, from, incarnation, term: 0 }
+    }
+
+    async fn keep_lease(self: Rc<Self>, ready: Rc<impl Fn() -> bool>) {
+        let mut asker = Asker::new(&self.fleet.council);
+        let mut told: Option<(Stand, bool)> = None;
+        loop {
+            let now = self.now();
+            self.holder.borrow_mut().set_ready(ready(), now);
+            let request = self.holder.borrow_mut().ask(now);
+            if let Some(request) = request {
+                let envelope = self.envelope();
+                let (response, pause) = match asker.ask(&envelope, &request, DEADLINE).await {
+                    Asking::Settled(response) => {
+                        self.answered.set(Instant::now());
+                        (Some(*response), 0)
+                    }
+                    Asking::Again(pause, why) => {
+                        self.failures.set(self.failures.get() + 1);
+                        tracing::debug!("the council does not settle: {why}");
+                        (None, pause)
+                    }
+                };
+                if matches!(response, Some(Response::Renewed(_))) {
+                    self.renewals.set(self.renewals.get() + 1);
+                }
+                self.holder.borrow_mut().answered(self.now(), response.as_ref(), pause, fastrand::f64());
+            }
+            let stands = (self.holder.borrow().stand(), self.holds().is_some());
+            // One that was just taken in has its first renewal before it.
+            let begins =
+                stands == (Stand::Member, false) && told.is_none_or(|(stand, _)| stand != Stand::Member);
+            if told != Some(stands) && !begins {
+                told = Some(stands);
+                self.tell(stands);
+            }
+            let due = self.holder.borrow().due().unwrap_or(0);
+            let wait = due.saturating_sub(self.now()).clamp(1000, LOOK_EVERY);
+            sleep(Duration::from_micros(wait)).await;
+        }
+    }
+
+    fn tell(&self, (stand, holds): (Stand, bool)) {
+        let (member, incarnation) = (&*self.fleet.member, self.holder.borrow().incarnation());
+        match stand {
+            Stand::Member if holds => tracing::info!(member, incarnation, "takes part in the fleet"),
+            Stand::Member => {
+                tracing::warn!(
+                    member,
+                    incarnation,
+                    "the lease has run out; serving goes on, nothing rests on it"
+                );
+            }
+            Stand::Joining => tracing::info!(member, "joins the fleet"),
+            Stand::Waiting => {
+                tracing::info!(member, "waits for the lease of an older process of its name to end")
+            }
+            Stand::Ended => tracing::warn!(member, "the council counts the lease as ended; it joins anew"),
+            Stand::Displaced => {
+                tracing::warn!(
+                    member,
+                    "a newer process has its name; this one has left the fleet and serves on"
+                );
+            }
+        }
+    }
+
+    /// Looks for a permit that is out for this agent, and gives it back as soon as that may be.
+    async fn keep_permits(self: Rc<Self>, ready: Rc<impl Fn() -> bool>) {
+        let mut asker = Asker::new(&self.fleet.council);
+        let key = permit::agents_of(&self.fleet.site);
+        loop {
+            if self.holds().is_none() || !ready() {
+                sleep(Duration::from_micros(LOOK_EVERY)).await;
+                continue;
+            }
+            let envelope = self.envelope();
+            let read = Request::Read { stale: false, prefix: key.clone(), members: true };
+            let view = match asker.ask(&envelope, &read, DEADLINE).await {
+                Asking::Settled(response) => match *response {
+                    Response::Read(view) => view,
+                    _ => return,
+                },
+                Asking::Again(..) => {
+                    sleep(PERMIT_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+                    continue;
+                }
+            };
+            let member = &self.fleet.member;
+            if let Ok(txn) = permit::give_back(&view, &key, member, envelope.incarnation) {
+                // Checked where it is written: a repeat of it does nothing.
+                let request = Request::Command(Call { session: None, command: Command::Write(txn) });
+                if let Asking::Settled(answer) = asker.ask(&envelope, &request, DEADLINE).await {
+                    tracing::info!(%member, "gives the permit for itself back: {answer:?}");
+                }
+                sleep(Duration::from_micros(LOOK_EVERY)).await;
+                continue;
+            }
+            if permit::of(&view, &key, member).is_some() {
+                // Whether its taker still lives is not in that record: it is looked at now and then.
+                sleep(OUT_LOOK).await;
+                continue;
+            }
+            let watch = Request::Watch { history: view.history, after: view.revision, prefix: key.clone() };
+            let pause = match asker.ask(&envelope, &watch, WATCH_WAIT + DEADLINE).await {
+                Asking::Settled(_) => 0,
+                Asking::Again(pause, _) => pause,
+            };
+            sleep(Duration::from_micros(pause.max(LOOK_EVERY))).await;
+        }
+    }
+
+    /// Goes, and says so if the council can be reached quickly.
+    pub async fn leave(&self) {
+        self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+        let envelope = self.envelope();
+        let Some(request) = self.holder.borrow_mut().leave() else { return };
+        let mut asker = Asker::new(&self.fleet.council);
+        let goodbye = async {
+            for _ in 0..2 * self.fleet.council.len() {
+                if let Asking::Settled(_) = asker.ask(&envelope, &request, DEADLINE).await {
+                    return;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(LEAVE_WAIT, goodbye).await;
+    }
+
+    /// Figures for the operators' page.
+    pub fn figures(&self) -> String {
+        let mut page = String::new();
+        let holder = self.holder.borrow();
+        let silent = self.answered.get().elapsed().as_secs_f64();
+        for (name, kind, value) in [
+            ("fleet_lease_held", "gauge", f64::from(u8::from(holder.holds(self.now()).is_some()))),
+            ("fleet_incarnation", "gauge", holder.incarnation() as f64),
+            ("fleet_council_silent_seconds", "gauge", silent),
+            ("fleet_renewals_total", "counter", self.renewals.get() as f64),
+            ("fleet_call_failures_total", "counter", self.failures.get() as f64),
+        ] {
+            let _ = writeln!(page, "# TYPE app_{name} {kind}\napp_{name} {value}");
+        }
+        page
+    }
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -8,6 +8,7 @@
 mod dialect;
 mod discovery;
 mod download;
+mod fleet;
 mod gauge;
 mod handover;
 mod head;
@@ -28,9 +29,11 @@
 mod wire;
 
 use config::Config;
+use fleet::member::Member;
 use handover::Sharers;
 use lanes::Lanes;
 use metrics::Metrics;
+use ops::Shown;
 use reload::{serve, Classes, Reload};
 use server::Server;
 use std::net::SocketAddr;
@@ -100,11 +103,17 @@
     let serving = serve(&config.plan, &mut classes, &lanes, known);
     let server = Server::new(serving, Rc::clone(&lanes), Rc::clone(&metrics), budget.clients);
     spawn_local(Rc::clone(&server).sweep());
+    // Only a file with [fleet] makes a member; without one nothing of it is there.
+    let member = config.fleet.as_ref().map(|fleet| {
+        let server = Rc::clone(&server);
+        Member::start(fleet, config.ops, move || server.is_ready())
+    });
     if let Some(ops) = config.ops {
         let listener =
             TcpListener::bind(ops).await.map_err(|e| format!("cannot listen for operators on {ops}: {e}"))?;
         let place = listener.local_addr().map_err(|e| e.to_string())?;
-        spawn_local(ops::run(listener, Rc::clone(&server)));
+        let page = Page { server: Rc::clone(&server), member: member.clone() };
+        spawn_local(ops::run(listener, Rc::new(page)));
         tracing::info!("operators may call at {place}");
     }
     let (mut passed, predecessor) = match inherited {
@@ -181,9 +190,29 @@
         }
         sleep(Duration::from_millis(5)).await;
     }
+    if let Some(member) = member {
+        member.leave().await;
+    }
     Ok(())
 }
 
+/// What operators are shown.
+struct Page {
+    server: Rc<Server>,
+    member: Option<Rc<Member>>,
+}
+
+impl Shown for Page {
+    fn is_ready(&self) -> bool {
+        self.server.is_ready()
+    }
+
+    fn figures(&self) -> String {
+        let figures = self.server.figures();
+        self.member.as_ref().map_or(figures.clone(), |member| figures + &member.figures())
+    }
+}
+
 /// Ends tasks, and comes back once what they held is free.
 async fn end(tasks: Vec<JoinHandle<()>>) {
     for task in tasks {
--- /dev/null
+++ b/crates/config/src/council.rs
@@ -0,0 +1,184 @@
+//! The file of a council process, and the `[fleet]` table of an agent's.
+
+use crate::reader::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+use toml::de::DeValue;
+
+const ADDRESS: &str = "an address as 127.0.0.1:7101";
+const NAME: &str = "a name of up to 100 letters, digits, '-', '_' and '.'";
+
+/// How an agent takes part in a fleet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fleet {
+    /// The fleet's name, which all its processes say.
+    pub name: String,
+    /// The agent's own name; no other agent of the fleet has it.
+    pub member: String,
+    /// Where it stands.
+    pub site: String,
+    /// The processes of the council; one at least.
+    pub council: Vec<SocketAddr>,
+}
+
+/// A process of a council.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Council {
+    /// The fleet's name, which all its processes say.
+    pub fleet: String,
+    /// Its own name.
+    pub name: String,
+    /// Where the others and the agents reach it.
+    pub listen: SocketAddr,
+    /// Its file on the disk, as the file names it.
+    pub disk: String,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
+    /// A lease that is not renewed for so long has ended.
+    pub lease: Duration,
+    /// Clocks run faster or slower than true time by this share at most.
+    pub drift: f64,
+    /// A follower that hears nothing for one to two times this stands for election.
+    pub election: Duration,
+    /// All processes of the council, this one with them.
+    pub peers: Vec<(String, SocketAddr)>,
+}
+
+fn name(value: &DeValue<'_>) -> Option<String> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    text(value).filter(|name| name.len() <= 100 && name.chars().all(plain))
+}
+
+fn addresses(value: &DeValue<'_>) -> Option<Vec<SocketAddr>> {
+    texts(value)?.iter().map(|text| text.parse().ok()).collect()
+}
+
+fn address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
+
+/// The `[fleet]` table; nothing if the file has none.
+pub(crate) fn fleet<'t>(reader: &mut Reader<'t>, root: &mut Section<'t>) -> Option<Fleet> {
+    let mut section = reader.section(root, "fleet");
+    if !section.is_there() {
+        return None;
+    }
+    let fleet = reader.get(&mut section, "name", Absent::Fault, NAME, name);
+    let member = reader.get(&mut section, "member", Absent::Fault, NAME, name);
+    let site = reader.get(&mut section, "site", Absent::Default("main".to_string()), NAME, name);
+    let wanted = "addresses of the council's processes, as [\"127.0.0.1:7101\"]";
+    let council = reader.get(&mut section, "council", Absent::Fault, wanted, addresses);
+    reader.end(section);
+    Some(Fleet { name: fleet?, member: member?, site: site?, council: council? })
+}
+
+/// Whether a text is the file of a council process.
+pub fn is_council(text: &str) -> bool {
+    tables(text).is_ok_and(|table| table.get_ref().contains_key("council"))
+}
+
+/// Reads the file of a council process, with `environment` to look up what its addresses name.
+pub fn parse_council(text: &str, environment: Environment<'_>) -> Result<Council, Vec<Fault>> {
+    let table = tables(text)?;
+    let (mut reader, root) = Reader::new(text, &table, environment);
+    let council = read(&mut reader, root);
+    let mut faults = std::mem::take(&mut reader.faults);
+    faults.sort_by_key(|fault| (fault.line, fault.column));
+    council.filter(|_| faults.is_empty()).ok_or(faults)
+}
+
+fn read<'t>(reader: &mut Reader<'t>, mut root: Section<'t>) -> Option<Council> {
+    let mut section = reader.section(&mut root, "council");
+    let fleet = reader.get(&mut section, "fleet", Absent::Fault, NAME, name);
+    let own = reader.get(&mut section, "name", Absent::Default("c1".to_string()), NAME, name);
+    let listen = reader.expanded(&mut section, "listen", Absent::Fault, ADDRESS, address);
+    let disk = reader.get(&mut section, "disk", Absent::Fault, "a file", text);
+    let ops = reader.expanded(&mut section, "ops", Absent::Nothing, ADDRESS, address);
+    let mut ms = |section: &mut Section<'t>, key, absent: f64, least: f64| {
+        let wanted = format!("{least} milliseconds or more, up to an hour");
+        let read = move |value: &DeValue<'_>| number(value).filter(|n| (least..=3.6e6).contains(n));
+        let ms = reader.get(section, key, Absent::Default(absent), &wanted, read);
+        ms.map(|ms| Duration::from_secs_f64(ms / 1e3))
+    };
+    let lease = ms(&mut section, "lease_ms", 9000.0, 300.0);
+    let election = ms(&mut section, "election_ms", 500.0, 50.0);
+    let drift = reader.get(&mut section, "drift", Absent::Default(0.01), "a share, 0 to 0.2", |value| {
+        number(value).filter(|n| (0.0..=0.2).contains(n))
+    });
+    if let (Some(lease), Some(election)) = (lease, election) {
+        if lease < election * 2 {
+            let what = format!("found {} ms; wanted twice election_ms or more", lease.as_millis());
+            reader.fault(&section, "lease_ms", what);
+        }
+    }
+    let mut peers: Vec<(String, SocketAddr)> = Vec::new();
+    for mut peer in reader.sections(&mut section, "peer") {
+        let name = reader.get(&mut peer, "name", Absent::Fault, NAME, name);
+        let address = reader.expanded(&mut peer, "address", Absent::Fault, ADDRESS, address);
+        if name.as_ref().is_some_and(|name| peers.iter().any(|(other, _)| other == name)) {
+            reader.fault(&peer, "name", "found a second time; wanted a name of its own".into());
+        }
+        peers.extend(name.zip(address));
+        reader.end(peer);
+    }
+    if let (Some(own), Some(listen)) = (&own, listen) {
+        if !peers.iter().any(|(name, _)| name == own) {
+            if !peers.is_empty() {
+                let what = format!("found peers without {own:?}; wanted this process among them");
+                reader.fault(&section, "peer", what);
+            }
+            peers.push((own.clone(), listen));
+        }
+    }
+    if !matches!(peers.len(), 0 | 1 | 3 | 5) {
+        let what = format!("found {}; a council has one, three or five processes", peers.len());
+        reader.fault(&section, "peer", what);
+    }
+    reader.end(section);
+    reader.end(root);
+    Some(Council {
+        fleet: fleet?,
+        name: own?,
+        listen: listen?,
+        disk: disk?,
+        ops,
+        lease: lease?,
+        drift: drift?,
+        election: election?,
+        peers,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_process_on_one_file_needs_no_more_than_a_name_an_address_and_a_disk() {
+        let text = "[council]\nfleet = \"gulf\"\nlisten = \"127.0.0.1:7101\"\ndisk = \"c1.redb\"\n";
+        let council = parse_council(text, &|_| None).expect("sound");
+        assert_eq!(council.peers, [("c1".to_string(), "127.0.0.1:7101".parse().expect("one"))]);
+        assert_eq!((council.lease, council.drift), (Duration::from_secs(9), 0.01));
+        assert!(is_council(text));
+    }
+
+    #[test]
+    fn every_fault_of_a_council_is_told_with_its_place() {
+        let text = "[council]\nfleet = \"g/1\"\nname = \"c9\"\nlisten = \"there\"\ndisk = \"x\"\nlease_ms = 400\nmore = 1\n\
+                    peer = [{ name = \"c1\", address = \"127.0.0.1:1\" }, { name = \"c1\", address = \"127.0.0.1:2\" }]\n";
+        let faults = parse_council(text, &|_| None).expect_err("faults");
+        let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        for (begin, word) in [
+            ("2:9", "fleet"),
+            ("4:10", "listen"),
+            ("6:12", "lease_ms"),
+            ("7:1", "more"),
+            ("8:", "second time"),
+        ] {
+            assert!(
+                lines.iter().any(|l| l.starts_with(begin) && l.contains(word)),
+                "{begin} {word}: {lines:#?}"
+            );
+        }
+    }
+}
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,5 +1,6 @@
 //! What the file may say.
 
+use crate::council::Fleet;
 use crate::reader::*;
 use heronhoist_decision::{Class, Discovery, Effect, Group, Settings, SettingsError, Span, Tenant, ZoneId};
 use heronhoist_routes::{Conditions, Fault as RouteFault, Rule, Table};
@@ -43,6 +44,8 @@
     pub mappings: Option<String>,
     /// Which pool a request goes to, by its place in `pools`.
     pub routes: Table,
+    /// How the agent takes part in a fleet, if it does.
+    pub fleet: Option<Fleet>,
     /// All values in force, and who said so.
     pub entries: Vec<Entry>,
 }
@@ -221,6 +224,7 @@
     let mappings = reader.get(&mut translate, "mappings", absent, "a directory", text);
     reader.end(translate);
     let fronts = fronts(reader, &mut root, operators, mappings.is_some());
+    let fleet = crate::council::fleet(reader, &mut root);
     let routes = routes(reader, &mut root, &classes, &tenants, &pools, &fronts);
     reader.end(root);
     Some(File {
@@ -235,6 +239,7 @@
         fronts: values_of(&fronts),
         mappings,
         routes: routes?,
+        fleet,
         entries: Vec::new(),
     })
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -27,8 +27,10 @@
 //! assert_eq!(faults[0].to_string(), "5:10: class[0].aim_ms: found \"soon\"; wanted milliseconds above 0");
 //! ```
 
+mod council;
 mod file;
 pub mod reader;
 
+pub use council::{is_council, parse_council, Council, Fleet};
 pub use file::{parse, File, Front, LogFormat, Membership, Pool, Protocol, Server, ServerState};
 pub use reader::{Entry, Environment, Fault, Source};
--- a/crates/council/src/caller.rs
+++ b/crates/council/src/caller.rs
@@ -28,6 +28,12 @@
         self.at
     }
 
+    /// There is one more process to ask; its place.
+    pub fn add(&mut self) -> usize {
+        self.targets += 1;
+        self.targets - 1
+    }
+
     /// An answer that settles the question.
     pub fn settled(&mut self) {
         self.failures = 0;
--- a/crates/council/src/desk.rs
+++ b/crates/council/src/desk.rs
@@ -2,7 +2,7 @@
 
 use crate::log::Disk;
 use crate::node::{Answer, Ask, Fault, Node, Ticket};
-use crate::state::{Command, Reply};
+use crate::state::{Change, Changed, Command, Reply};
 use crate::wire::{Envelope, Refusal, Request, Response, View};
 use crate::{Excess, Time};
 use std::collections::BTreeMap;
@@ -10,7 +10,7 @@
 /// Changes that a watcher is told at a time.
 const CHANGES_AT_A_TIME: usize = 256;
 /// A watch with nothing to tell is answered after this long, in microseconds, so that its caller knows that all is well.
-const WATCH_WAIT: Time = 2_000_000;
+pub const WATCH_WAIT: Time = 20_000_000;
 /// Watches that wait at a time.
 const WATCHERS_MOST: usize = 4096;
 
@@ -29,6 +29,7 @@
 struct Watch {
     caller: Caller,
     after: u64,
+    prefix: String,
     until: Time,
 }
 
@@ -86,8 +87,8 @@
             Request::Renew => Ask::Renew(envelope.from.clone(), envelope.incarnation),
             Request::Read { stale: false, .. } | Request::Copy => Ask::Read,
             Request::Replace { add, remove } => Ask::Replace { add: add.clone(), remove: *remove },
-            Request::Read { stale: true, prefix } => {
-                let view = self.view(prefix, self.node.age());
+            Request::Read { stale: true, prefix, members } => {
+                let view = self.view(prefix, *members, self.node.age());
                 self.responses.push((caller, Response::Read(view)));
                 return;
             }
@@ -98,8 +99,9 @@
                 self.responses.push((caller, response));
                 return;
             }
-            Request::Watch { history, after } => {
-                self.watch(now, caller, *history, *after);
+            Request::Watch { history, after, prefix } => {
+                let (after, prefix, until) = (*after, prefix.clone(), now + WATCH_WAIT);
+                self.watch(*history, Watch { caller, after, prefix, until });
                 return;
             }
             Request::Hello => {
@@ -124,30 +126,40 @@
             .then(|| Refusal::OlderIncarnation { name: envelope.from.clone(), newer: member.incarnation })
     }
 
-    fn watch(&mut self, now: Time, caller: Caller, history: u64, after: u64) {
+    fn watch(&mut self, history: u64, mut watch: Watch) {
         let state = self.node.state();
         let response = if history != state.history {
             Response::Refused(Refusal::Compacted { history: state.history, oldest: state.revision })
         } else {
-            match state.changes_after(after, CHANGES_AT_A_TIME) {
-                Err(gone) => Response::Refused(Refusal::Compacted { history, oldest: gone.oldest }),
-                Ok((changes, upto)) if !changes.is_empty() || upto > after => {
-                    Response::Changes { changes, upto }
-                }
-                Ok(_) if self.watches.len() >= WATCHERS_MOST => {
-                    let over = Excess { bound: "watchers".into(), most: WATCHERS_MOST as u64 };
-                    Response::Refused(Refusal::Over(over))
-                }
-                Ok(_) => {
-                    self.watches.push(Watch { caller, after, until: now + WATCH_WAIT });
-                    return;
+            loop {
+                match state.changes_after(watch.after, CHANGES_AT_A_TIME) {
+                    Err(gone) => {
+                        break Response::Refused(Refusal::Compacted { history, oldest: gone.oldest })
+                    }
+                    Ok((mut changes, upto)) => {
+                        changes.retain(|change| concerns(change, &watch.prefix));
+                        if !changes.is_empty() {
+                            break Response::Changes { changes, upto };
+                        }
+                        if upto > watch.after {
+                            // Nothing of it concerns this watcher, so far.
+                            watch.after = upto;
+                            continue;
+                        }
+                        if self.watches.len() < WATCHERS_MOST {
+                            self.watches.push(watch);
+                            return;
+                        }
+                        let over = Excess { bound: "watchers".into(), most: WATCHERS_MOST as u64 };
+                        break Response::Refused(Refusal::Over(over));
+                    }
                 }
             }
         };
-        self.responses.push((caller, response));
+        self.responses.push((watch.caller, response));
     }
 
-    fn view(&self, prefix: &str, age: Option<Time>) -> View {
+    fn view(&self, prefix: &str, members: bool, age: Option<Time>) -> View {
         let state = self.node.state();
         let records = state.records.range(prefix.to_string()..);
         let records = records.take_while(|(key, _)| key.starts_with(prefix));
@@ -156,7 +168,7 @@
             revision: state.revision,
             age,
             peers: state.peers.clone(),
-            members: state.members.clone(),
+            members: if members { state.members.clone() } else { BTreeMap::new() },
             records: records.map(|(key, record)| (key.clone(), record.clone())).collect(),
         }
     }
@@ -174,14 +186,14 @@
             self.told = revision;
             let history = self.node.state().history;
             for watch in std::mem::take(&mut self.watches) {
-                self.watch(now, watch.caller, history, watch.after);
+                self.watch(history, watch);
             }
         }
         Ok(Output { messages, responses: std::mem::take(&mut self.responses) })
     }
 
     fn response(&self, request: &Request, answer: Answer) -> Response {
-        let name = |number: u64| self.node.state().peers.get(&number).map(|peer| peer.name.clone());
+        let peer = |number: u64| self.node.state().peers.get(&number).cloned();
         match (answer, request) {
             (Answer::Reply(Reply::Over(excess)), _) | (Answer::Over(excess), _) => {
                 Response::Refused(Refusal::Over(excess))
@@ -190,17 +202,27 @@
             (Answer::Readable, Request::Copy) => {
                 Response::Copy(String::from_utf8(self.node.copy()).unwrap_or_default())
             }
-            (Answer::Readable, Request::Read { prefix, .. }) => Response::Read(self.view(prefix, Some(0))),
+            (Answer::Readable, Request::Read { prefix, members, .. }) => {
+                Response::Read(self.view(prefix, *members, Some(0)))
+            }
             (Answer::Readable, _) => Response::Refused(Refusal::Unknown),
             (Answer::Renewed, _) => Response::Renewed(self.node.terms()),
             (Answer::Ended, _) => Response::Ended,
             (Answer::Displaced, _) => Response::Displaced,
             (Answer::Replaced, _) => Response::Replaced,
             (Answer::NotLeader(leader), _) => {
-                Response::Refused(Refusal::NotLeader { leader: leader.and_then(name) })
+                Response::Refused(Refusal::NotLeader { leader: leader.and_then(peer) })
             }
             (Answer::Unknown, _) => Response::Refused(Refusal::Unknown),
             (Answer::Refused(why), _) => Response::Refused(Refusal::Impossible(why)),
         }
     }
 }
+
+/// Whether a watcher of this prefix is told of a change.
+fn concerns(change: &Change, prefix: &str) -> bool {
+    match &change.what {
+        Changed::Record(key, _) => key.starts_with(prefix),
+        Changed::Member(..) => prefix.is_empty(),
+    }
+}
--- a/crates/council/src/holder.rs
+++ b/crates/council/src/holder.rs
@@ -49,6 +49,8 @@
     reported: bool,
     due: Time,
     asked: Option<Time>,
+    /// The longest pause after a failure, once the term is known: a lease must not run out between two tries.
+    pause_most: Time,
 }
 
 impl Holder {
@@ -64,6 +66,7 @@
             reported: false,
             due: now,
             asked: None,
+            pause_most: Time::MAX,
         }
     }
 
@@ -175,7 +178,7 @@
                 self.due = now;
             }
             _ => {
-                self.due = now + again;
+                self.due = now + again.min(self.pause_most);
                 return false;
             }
         }
@@ -184,6 +187,7 @@
 
     fn renewed(&mut self, asked: Time, terms: &Terms, now: Time, draw: f64) {
         self.held.granted(asked, terms);
+        self.pause_most = terms.term / 8;
         self.due = if self.reported == self.ready { asked + terms.renew_after(draw) } else { now }.max(now);
     }
 
--- a/crates/council/src/log.rs
+++ b/crates/council/src/log.rs
@@ -3,6 +3,7 @@
 
 use raft::eraftpb::{ConfState, Entry, HardState, Snapshot};
 use raft::{GetEntriesContext, RaftState, Storage, StorageError};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 
 /// Why a disk did not keep, or does not give back, what it was given.
@@ -82,6 +83,8 @@
     snapshot: Snapshot,
     entries: Vec<Entry>,
     cut: (u64, u64),
+    /// A newer snapshot is needed than there is.
+    wanted: Cell<bool>,
 }
 
 fn read<M: protobuf::Message>(what: &str, bytes: &[u8]) -> Result<M, DiskFault> {
@@ -120,7 +123,7 @@
             )));
         }
         let conf = snapshot.get_metadata().get_conf_state().clone();
-        Ok(Log { hard, conf, snapshot, entries, cut: image.cut })
+        Ok(Log { hard, conf, snapshot, entries, cut: image.cut, wanted: Cell::new(false) })
     }
 
     /// The newest snapshot.
@@ -143,6 +146,11 @@
         self.entries.is_empty()
     }
 
+    /// Whether a newer snapshot has been asked for since the last call.
+    pub(crate) fn take_wanted(&self) -> bool {
+        self.wanted.replace(false)
+    }
+
     pub(crate) fn keep_hard(&mut self, hard: HardState) {
         self.hard = hard;
     }
@@ -233,8 +241,12 @@
         Ok(self.last())
     }
 
-    fn snapshot(&self, request_index: u64, _to: u64) -> raft::Result<Snapshot> {
-        if self.snapshot.get_metadata().index < request_index {
+    /// Whoever was taken in after the newest snapshot was made does not find itself in it, and would not take it.
+    fn snapshot(&self, request_index: u64, to: u64) -> raft::Result<Snapshot> {
+        let about = self.snapshot.get_metadata();
+        let conf = about.get_conf_state();
+        if about.index < request_index || !(conf.voters.contains(&to) || conf.learners.contains(&to)) {
+            self.wanted.set(true);
             return Err(StorageError::SnapshotTemporarilyUnavailable.into());
         }
         Ok(self.snapshot.clone())
--- a/crates/council/src/node.rs
+++ b/crates/council/src/node.rs
@@ -628,7 +628,8 @@
     fn compact(&mut self, disk: &mut dyn Disk) -> Result<(), Fault> {
         let most = self.settings.bounds.log_entries;
         let log = self.raw.store();
-        if log.len() < most || self.applied <= log.newest().get_metadata().index {
+        let due = log.take_wanted() || log.len() >= most;
+        if !due || self.applied <= log.newest().get_metadata().index {
             return Ok(());
         }
         let term = raft::Storage::term(log, self.applied).map_err(|e| Fault::Raft(e.to_string()))?;
--- a/crates/council/src/wire.rs
+++ b/crates/council/src/wire.rs
@@ -41,6 +41,8 @@
         stale: bool,
         /// Records whose keys begin so; empty for all.
         prefix: String,
+        /// Members too.
+        members: bool,
     },
     /// What has changed after a revision; waits until something has.
     Watch {
@@ -48,6 +50,8 @@
         history: u64,
         /// After which revision.
         after: Revision,
+        /// Only of records whose keys begin so; empty for all records and members.
+        prefix: String,
     },
     /// How this process stands.
     Status,
@@ -106,7 +110,7 @@
     pub age: Option<Time>,
     /// The council's processes.
     pub peers: BTreeMap<u64, Peer>,
-    /// Who takes part.
+    /// Who takes part, if that was asked.
     pub members: BTreeMap<String, Member>,
     /// The records that were asked for.
     pub records: BTreeMap<String, Record>,
@@ -141,10 +145,10 @@
         newer: u64,
     },
     /// This process does not lead.
-    #[error("this process does not lead; {} may", .leader.as_deref().unwrap_or("nobody that it knows"))]
+    #[error("this process does not lead; {} may", .leader.as_ref().map_or("nobody that it knows", |peer| &peer.name))]
     NotLeader {
-        /// The name of the one that may.
-        leader: Option<String>,
+        /// The one that may.
+        leader: Option<Peer>,
     },
     /// It may have been done or not, or be done yet.
     #[error("whether it was done is unknown; ask again with the same number")]
--- a/crates/lab/src/processes/world.rs
+++ b/crates/lab/src/processes/world.rs
@@ -449,7 +449,8 @@
             _ => process.name.clone(),
         };
         let names: Vec<String> = late.map(about).collect();
-        format!("leader {:?}, {}", self.leader.is_some(), names.join(" "))
+        let behind = self.laggards().join(" ");
+        format!("leader {:?}, {}, behind: {behind}", self.leader.is_some(), names.join(" "))
     }
 
     fn is_right(process: &Process) -> bool {
@@ -465,7 +466,18 @@
     }
 
     fn is_settled(&self) -> bool {
-        self.leader.is_some() && self.processes.iter().all(Self::is_right)
+        self.leader.is_some() && self.processes.iter().all(Self::is_right) && self.laggards().is_empty()
+    }
+
+    /// Processes of the council that are behind the others.
+    fn laggards(&self) -> Vec<&str> {
+        let revision = |process: &Process| match &process.role {
+            Role::Council { desk: Some(desk), .. } => Some(desk.node().state().revision),
+            _ => None,
+        };
+        let newest = self.processes.iter().filter_map(revision).max();
+        let council = self.processes.iter().filter(|process| matches!(process.role, Role::Council { .. }));
+        council.filter(|process| revision(process) != newest).map(|process| process.name.as_str()).collect()
     }
 
     fn happen(&mut self, event: Event) {
@@ -689,7 +701,7 @@
         asker.out = None;
         let pause = match &response {
             Some(Response::Refused(Refusal::NotLeader { leader })) => {
-                let leader = leader.as_ref().and_then(|name| name.strip_prefix('c')?.parse().ok());
+                let leader = leader.as_ref().and_then(|peer| peer.name.strip_prefix('c')?.parse().ok());
                 Some(asker.caller.hinted(leader.filter(|at| *at < plan.council), draw))
             }
             None | Some(Response::Refused(Refusal::Unknown | Refusal::NotFormed(_) | Refusal::Over(_))) => {
@@ -789,7 +801,7 @@
                 let member = agent.holder.stand() == Stand::Member && now >= agent.ready_at;
                 if can[1] && member && now >= agent.look_at && self.plan.operators > 0 {
                     agent.look_at = now + LOOK;
-                    asks.push((1, Request::Read { stale: false, prefix: "budget/".into() }));
+                    asks.push((1, Request::Read { stale: false, prefix: "budget/".into(), members: true }));
                 }
                 due = due.min(agent.look_at.max(now + 1000));
                 due =
@@ -821,12 +833,12 @@
                     let request = match watcher.reading {
                         Some(false) => {
                             let after = watcher.watched.stretches.last().map_or(0, |stretch| stretch.3);
-                            Request::Watch { history: watcher.history, after }
+                            Request::Watch { history: watcher.history, after, prefix: String::new() }
                         }
                         _ => {
                             let stale = self.rng.random_bool(0.5);
                             watcher.reading = Some(true);
-                            Request::Read { stale, prefix: String::new() }
+                            Request::Read { stale, prefix: String::new(), members: true }
                         }
                     };
                     asks.push((0, request));
@@ -903,7 +915,7 @@
         let Role::Client(client) = &self.processes[at].role else { return None };
         let (key, op, _) = client.now.as_ref()?;
         let txn = match op {
-            Op::Read(_) => return Some(Request::Read { stale: false, prefix: key.clone() }),
+            Op::Read(_) => return Some(Request::Read { stale: false, prefix: key.clone(), members: false }),
             Op::Put(new) => {
                 Txn { checks: Vec::new(), writes: vec![Write::Put(key.clone(), new.to_string())] }
             }
@@ -1056,7 +1068,7 @@
             // The same again, under the same number.
             return operator.asked.clone();
         }
-        Some(Request::Read { stale: false, prefix: "budget/".into() })
+        Some(Request::Read { stale: false, prefix: "budget/".into(), members: true })
     }
 
     fn operator_told(&mut self, at: usize, response: Option<Response>) {
