Play council processes and agents behind faulty links, and give the council its own program

What several processes do to each other has to be seen with the processes themselves, and what an agent carries in memory must not grow by what only a council process uses.

The lab's scenarios with [council] have a real mode: processes of the program, a proxy before each council process that tells who calls by the first envelope and drops, resets, delays, drips or holds each direction; stops, kills, empty disks, heronhoist hold as the operators.

--- a/crates/agent/src/cli.rs
+++ b/crates/agent/src/cli.rs
@@ -24,6 +24,18 @@
     command: Option<Command>,
 }
 
+/// Runs a process of the fleet's council until SIGTERM.
+#[derive(Parser)]
+#[command(name = "heronhoist-council", version)]
+struct Council {
+    /// Its file, as deploy/council.toml.
+    #[arg(short, long, value_name = "FILE")]
+    config: PathBuf,
+    /// Begin anew, alone, with a copy that `heronhoist fleet copy` wrote; only on a new disk.
+    #[arg(long, value_name = "COPY")]
+    restore: Option<PathBuf>,
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Run the agent until SIGTERM; SIGHUP reads the file again, and takes all of it or nothing.
@@ -50,14 +62,7 @@
         command: translate::Command,
     },
     /// Run a process of the fleet's council until SIGTERM.
-    Council {
-        /// Its file, as deploy/council.toml.
-        #[arg(short, long, value_name = "FILE")]
-        config: PathBuf,
-        /// Begin anew, alone, with a copy that `heronhoist fleet copy` wrote; only on a new disk.
-        #[arg(long, value_name = "COPY")]
-        restore: Option<PathBuf>,
-    },
+    Council(Council),
     /// Ask the fleet's council, and tell it what operators want.
     Fleet {
         #[command(subcommand)]
@@ -92,7 +97,7 @@
                 ExitCode::from(1)
             }
         },
-        Some(Command::Council { config, restore }) => council(&config, restore.as_deref()),
+        Some(Command::Council(what)) => fail(&become_council(&what), 1),
         Some(Command::Fleet { tool }) => match aside(tools::run(tool)) {
             Ok(Ok(text)) => print(&text),
             Ok(Err(fault)) | Err(fault) => fail(&fault, 1),
@@ -115,6 +120,27 @@
     Ok(tokio::task::LocalSet::new().block_on(&runtime, what))
 }
 
+/// The program of a council process stands beside this one, and takes this one's place. Only why it did not comes back.
+fn become_council(what: &Council) -> String {
+    let here = match std::env::current_exe() {
+        Ok(here) => here.with_file_name("heronhoist-council"),
+        Err(e) => return format!("where is this program? {e}"),
+    };
+    let mut command = std::process::Command::new(&here);
+    command.arg("--config").arg(&what.config);
+    if let Some(copy) = &what.restore {
+        command.arg("--restore").arg(copy);
+    }
+    let fault = std::os::unix::process::CommandExt::exec(&mut command);
+    format!("cannot run {}: {fault}", here.display())
+}
+
+/// The program of a council process.
+pub fn council_main() -> ExitCode {
+    let Council { config, restore } = Council::parse();
+    council(&config, restore.as_deref())
+}
+
 fn council(path: &Path, restore: Option<&Path>) -> ExitCode {
     let text = match std::fs::read_to_string(path) {
         Ok(text) => text,
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,228 @@
+//! The agent: the decisions of `heronhoist-decision` on real sockets. See `heronhoist --help`; with
+//! `LB_CONFIG` and no arguments it is the platform's agent.
+
+mod backend;
+mod cli;
+mod config;
+mod connections;
+mod dialect;
+mod discovery;
+mod download;
+mod fleet;
+mod gauge;
+mod handover;
+mod head;
+mod intake;
+mod lanes;
+mod legacy;
+mod log;
+mod metrics;
+mod ops;
+mod patience;
+mod plan;
+mod reload;
+mod rest;
+mod seats;
+mod server;
+mod translate;
+mod upload;
+mod wire;
+
+use config::Config;
+use fleet::member::Member;
+use handover::Sharers;
+use lanes::Lanes;
+use metrics::Metrics;
+use ops::Shown;
+use reload::{serve, Classes, Reload};
+use server::Server;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
+use tokio::time::{sleep, timeout, Instant};
+
+/// After SIGTERM new connections go on coming for a while, and are served.
+const ACCEPT_ON: Duration = Duration::from_millis(500);
+/// Once nothing is owed, connections that have not been used yet are given this long.
+const LINGER: Duration = Duration::from_millis(400);
+/// The end, counted from SIGTERM over the longest deadline.
+const STOP_SLACK: Duration = Duration::from_millis(300);
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// A process that takes over waits this long for discovery; then what it knows must do.
+const LIST_WAIT: Duration = Duration::from_millis(2500);
+
+/// The agent's program: does what the command line says.
+pub fn main() -> ExitCode {
+    cli::main()
+}
+
+/// The program of a council process: does what the command line says.
+pub fn council_main() -> ExitCode {
+    cli::council_main()
+}
+
+/// Runs the agent until it is told to stop.
+fn start(config: Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, run(config))
+}
+
+/// Listens so that another process of this agent may do so too, should it find no way to take over this socket.
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn run(mut config: Config) -> Result<(), String> {
+    // First of all: a signal that nobody waits for ends the program.
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("cannot wait for SIGHUP: {e}"))?;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
+    let metrics = Rc::new(Metrics::default());
+    let mut classes = Classes::new(Rc::clone(&metrics));
+    let sharers = Rc::new(Sharers::default());
+    let fronts = config.fronts.clone();
+    let places: Vec<_> = fronts.iter().filter_map(|front| handover::meeting_place(front.listen)).collect();
+    let mut inherited = None;
+    for place in &places {
+        if inherited.is_none() {
+            inherited = handover::take_over(place, &sharers).await;
+        }
+    }
+    // What it holds at first is as if it were not alone.
+    let budget = config.limits().of(2);
+    // A client's connection carries one request at a time, and there may be so many once this process is alone.
+    let requests = config.limits().of(1).clients.open_most;
+    let lanes = Lanes::new(budget.room, requests, config.seed);
+    // The list in the file may be old. Where a process has served up to now, that one knows better: this one serves
+    // once it has been told all.
+    let known = config.known.take().map(|list| (list, inherited.is_none()));
+    let serving = serve(&config.plan, &mut classes, &lanes, known);
+    let server = Server::new(serving, Rc::clone(&lanes), Rc::clone(&metrics), budget.clients);
+    spawn_local(Rc::clone(&server).sweep());
+    // Only a file with [fleet] makes a member; without one nothing of it is there.
+    let member = config.fleet.as_ref().map(|fleet| {
+        let server = Rc::clone(&server);
+        Member::start(fleet, config.ops, move || server.is_ready())
+    });
+    if let Some(ops) = config.ops {
+        let listener =
+            TcpListener::bind(ops).await.map_err(|e| format!("cannot listen for operators on {ops}: {e}"))?;
+        let place = listener.local_addr().map_err(|e| e.to_string())?;
+        let page = Page { server: Rc::clone(&server), member: member.clone() };
+        spawn_local(ops::run(listener, Rc::new(page)));
+        tracing::info!("operators may call at {place}");
+    }
+    let (mut passed, predecessor) = match inherited {
+        Some((passed, predecessor)) => (passed, Some(predecessor)),
+        None => (Vec::new(), None),
+    };
+    let mut listeners = Vec::new();
+    for front in &fronts {
+        // What the process before this one does not listen on is a front that has been added.
+        let listener = match handover::pick(&mut passed, front.listen) {
+            Some(listener) => TcpListener::from_std(listener),
+            None => bind(front.listen),
+        };
+        let listener = listener.map_err(|e| format!("cannot listen on {}: {e}", front.listen))?;
+        listeners.push(Rc::new(listener));
+    }
+    drop(passed);
+    let allot = {
+        let (limits, server, lanes) = (config.limits(), Rc::clone(&server), Rc::clone(&lanes));
+        move |sharers| {
+            let budget = limits.of(sharers);
+            server.limit(budget.clients);
+            lanes.limit(budget.room);
+        }
+    };
+    sharers.on_change(allot);
+    let served = lanes.all();
+    let reload = Reload { config, classes, metrics, server: Rc::clone(&server), lanes };
+    spawn_local(reload.run(hangup));
+    if predecessor.is_some() {
+        let heard = async {
+            for lane in served {
+                lane.pool.heard().await;
+            }
+        };
+        let _ = timeout(LIST_WAIT, heard).await;
+    }
+    // From here on a successor finds the way to this process.
+    let offers: Vec<_> = places
+        .iter()
+        .filter_map(|place| handover::meet(place))
+        .map(|meeting| spawn_local(handover::offer(meeting, listeners.clone(), Rc::clone(&sharers))))
+        .collect();
+    let mut accepting = Vec::new();
+    for (front, listener) in fronts.iter().zip(listeners) {
+        let address = listener.local_addr().map_err(|e| e.to_string())?;
+        tracing::info!(front = &*front.name, "listening on {address}");
+        let (server, front) = (Rc::clone(&server), Rc::new(front.clone()));
+        accepting.push(spawn_local(async move { server.accept(&front, &listener).await }));
+    }
+    if let Some(predecessor) = predecessor {
+        spawn_local(predecessor.relieve());
+    }
+    term.recv().await;
+
+    // Clients go on coming until they have noticed; what they send is served to the end.
+    let stop = Instant::now();
+    server.begin_stop();
+    end(offers).await;
+    if sharers.has_successor() {
+        // New connections are the successor's from now on; those that are open may still be used for a while.
+        end(accepting).await;
+        sleep(ACCEPT_ON).await;
+    } else {
+        sleep(ACCEPT_ON).await;
+        end(accepting).await;
+    }
+    server.close_all();
+    let quiet_from = stop + ACCEPT_ON + LINGER;
+    let last = stop + server.longest_deadline() + STOP_SLACK;
+    while server.connections() > 0 && Instant::now() < last {
+        if server.owed() == 0 && Instant::now() >= quiet_from {
+            break;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    if let Some(member) = member {
+        member.leave().await;
+    }
+    Ok(())
+}
+
+/// What operators are shown.
+struct Page {
+    server: Rc<Server>,
+    member: Option<Rc<Member>>,
+}
+
+impl Shown for Page {
+    fn is_ready(&self) -> bool {
+        self.server.is_ready()
+    }
+
+    fn figures(&self) -> String {
+        let figures = self.server.figures();
+        self.member.as_ref().map_or(figures.clone(), |member| figures + &member.figures())
+    }
+}
+
+/// Ends tasks, and comes back once what they held is free.
+async fn end(tasks: Vec<JoinHandle<()>>) {
+    for task in tasks {
+        task.abort();
+        let _ = task.await;
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -372,12 +372,22 @@
     }
     if let Some(plan) = agreed(file, &set)? {
         say(&format!(
-            "{}, virtual mode: {} council processes, {} agents, {} s of faults",
+            "{}, {} mode: {} council processes, {} agents, {} s of faults",
             plan.name,
+            if how.real { "real" } else { "virtual" },
             plan.council,
             plan.agents,
             plan.length / 1_000_000
         ));
+        if how.real {
+            let program = play::agent(how.agent.as_deref())?;
+            let folder = std::env::temp_dir().join(format!("heronhoist-lab-{}", std::process::id()));
+            let held = processes::run_real(&plan, how.seeds, (&program, &folder), say)?;
+            if held {
+                let _ = std::fs::remove_dir_all(&folder);
+            }
+            return Ok(held);
+        }
         return Ok(processes::run(&plan, how.seeds, how.threads, say));
     }
     let source = changed(&read(file)?, &set)?;
--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -1,12 +1,15 @@
 //! Scenarios of several processes that agree, their links and their disks: played, and judged from outside.
 
 pub mod judge;
+mod links;
 pub mod plan;
+mod rig;
 pub mod world;
 
 use plan::Plan;
 use std::fmt::Write as _;
 use std::ops::RangeInclusive;
+use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
@@ -93,6 +96,49 @@
     broken == 0 && played == count
 }
 
+/// The same with processes of the program, one seed after the other; whether all held. Logs of what did not are left in the
+/// folder.
+pub fn run_real(
+    plan: &Plan,
+    seeds: RangeInclusive<u64>,
+    (program, folder): (&Path, &Path),
+    mut say: impl FnMut(&str),
+) -> Result<bool, String> {
+    let mut broken = 0;
+    for seed in seeds {
+        if crate::stage::INTERRUPTED.load(Ordering::Relaxed) {
+            break;
+        }
+        let place = folder.join(format!("seed-{seed}"));
+        let _ = std::fs::remove_dir_all(&place);
+        let outcome = rig::play(plan, seed, program, &place)?;
+        let wrongs = judge::judge(&outcome.seen, plan.permits);
+        let mut line = format!(
+            "seed {seed}: {} operations, {} of unknown outcome, {} faults, {} out by permits, {} looks at leases, {} watched stretches: ",
+            outcome.settled,
+            outcome.unknown,
+            outcome.faults,
+            outcome.permits,
+            outcome.looks,
+            outcome.seen.watched.iter().map(|watched| watched.stretches.len()).sum::<usize>()
+        );
+        line += if wrongs.is_empty() { "held" } else { "BROKEN" };
+        for wrong in wrongs.iter().take(5) {
+            let cut: String = wrong.chars().take(600).collect();
+            let _ = write!(line, "\n  {cut}");
+        }
+        say(&line);
+        broken += usize::from(!wrongs.is_empty());
+        if wrongs.is_empty() {
+            let _ = std::fs::remove_dir_all(&place);
+        } else {
+            say(&format!("  logs: {}", place.display()));
+        }
+    }
+    say(if broken == 0 { "all that must hold held" } else { "NOT all that must hold held" });
+    Ok(broken == 0)
+}
+
 #[cfg(test)]
 mod tests {
     use super::plan::Planted;
--- /dev/null
+++ b/crates/lab/src/processes/rig.rs
@@ -0,0 +1,778 @@
+//! Real mode: council processes, agents and operators' wrappers of the program, each behind a proxy, with faults of links and
+//! processes. What is judged is what clients were answered, what agents say of their leases, and who was out when.
+
+use super::judge::{Done, Op, Out, Seen, Watched};
+use super::links::{Does, Links};
+use super::plan::{Kind, Plan};
+use crate::world::Micros;
+use heronhoist_council::caller::{Caller, DEADLINE};
+use heronhoist_council::state::{Call, Check, Command, Reply, Standing, Txn, Write};
+use heronhoist_council::wire::{Envelope, Refusal, Request, Response, View, PROTOCOL};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustix::process::{kill_process, Pid, Signal};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::Child;
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
+use tokio::time::{sleep, timeout, Instant};
+
+const FLEET: &str = "lab";
+/// After the last fault everything comes right within this, or nothing does; far beyond what a sound program needs.
+const SETTLE: Duration = Duration::from_secs(90);
+/// Operations on one record, so that the checker's work stays small.
+const OPS_A_KEY: usize = 24;
+/// A client gives an operation up after this.
+const PATIENCE: Duration = Duration::from_secs(6);
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// What a run came to.
+pub struct Outcome {
+    /// What was seen.
+    pub seen: Seen,
+    /// Operations with a known outcome.
+    pub settled: usize,
+    /// Without.
+    pub unknown: usize,
+    /// Faults that were begun.
+    pub faults: usize,
+    /// Permits under which something was out.
+    pub permits: usize,
+    /// Looks at agents' leases.
+    pub looks: usize,
+}
+
+struct Process {
+    name: String,
+    arguments: Vec<String>,
+    log: PathBuf,
+    child: RefCell<Option<Child>>,
+    /// It is stopped, or down on purpose: nobody starts it but the fault that did it.
+    held: Cell<bool>,
+    /// Where it listens, or operators call.
+    address: SocketAddr,
+}
+
+impl Process {
+    fn signal(&self, signal: Signal) {
+        let id = self.child.borrow().as_ref().and_then(Child::id);
+        if let Some(pid) = id.and_then(|id| Pid::from_raw(id as i32)) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    fn start(&self, program: &Path) -> Result<(), String> {
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
+        let log = log.map_err(|e| format!("{}: {e}", self.log.display()))?;
+        let mut command = tokio::process::Command::new(program);
+        let folder = self.log.parent().unwrap_or(Path::new("."));
+        command
+            .args(&self.arguments)
+            .env("TMPDIR", folder)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log);
+        let child =
+            command.kill_on_drop(true).spawn().map_err(|e| format!("cannot start {}: {e}", self.name))?;
+        let id = child.id().unwrap_or(0);
+        let _ = std::fs::write(self.log.with_extension("pid"), id.to_string());
+        *self.child.borrow_mut() = Some(child);
+        Ok(())
+    }
+
+    async fn kill(&self) {
+        let child = self.child.borrow_mut().take();
+        if let Some(mut child) = child {
+            let _ = child.kill().await;
+        }
+    }
+
+    /// It has ended by itself, or by another's hand.
+    fn has_ended(&self) -> bool {
+        self.child.borrow_mut().as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+}
+
+struct Rig {
+    plan: Plan,
+    program: PathBuf,
+    folder: PathBuf,
+    links: Links,
+    council: Vec<Rc<Process>>,
+    agents: Vec<Rc<Process>>,
+    proxies: Vec<SocketAddr>,
+    begun: Instant,
+    healed: Cell<bool>,
+    seen: RefCell<Seen>,
+    ended: RefCell<HashMap<(String, u64), Micros>>,
+    unknown: Cell<usize>,
+    looks: Cell<usize>,
+    faults: Cell<usize>,
+    out: RefCell<BTreeMap<String, usize>>,
+    keys: RefCell<(Vec<(String, usize)>, usize)>,
+    values: Cell<u64>,
+    rng: RefCell<Pcg64Mcg>,
+    wrappers: RefCell<Vec<u32>>,
+}
+
+/// Plays one seed with processes of the program.
+pub fn play(plan: &Plan, seed: u64, program: &Path, folder: &Path) -> Result<Outcome, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, async {
+        let rig = Rc::new(Rig::new(plan, seed, program, folder).await?);
+        let played = Rc::clone(&rig).run().await;
+        for process in rig.council.iter().chain(&rig.agents) {
+            process.kill().await;
+        }
+        played
+    })
+}
+
+async fn free() -> std::io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?.local_addr()
+}
+
+/// One call with a body of its own connection.
+async fn http(address: SocketAddr, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>)> {
+    let calling = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(&[head.as_bytes(), body].concat()).await.ok()?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await.ok()?;
+        let split = answer.windows(4).position(|window| window == b"\r\n\r\n")?;
+        let status = std::str::from_utf8(&answer[..split]).ok()?.split(' ').nth(1)?.parse().ok()?;
+        Some((status, answer[split + 4..].to_vec()))
+    };
+    timeout(Duration::from_micros(DEADLINE), calling).await.ok().flatten()
+}
+
+/// Somebody who asks the council through the links.
+struct Asker {
+    name: String,
+    addresses: Vec<SocketAddr>,
+    caller: Caller,
+    session: Option<u64>,
+    number: u64,
+}
+
+impl Asker {
+    fn new(rig: &Rig, name: &str) -> Asker {
+        let (addresses, draw) = (rig.proxies.clone(), rig.rng.borrow_mut().random());
+        Asker {
+            name: name.into(),
+            caller: Caller::new(addresses.len(), draw),
+            addresses,
+            session: None,
+            number: 0,
+        }
+    }
+
+    /// One call, and the pause that is due if it settled nothing.
+    async fn once(&mut self, request: &Request) -> Result<Response, Duration> {
+        let envelope = Envelope {
+            fleet: FLEET.into(),
+            protocol: PROTOCOL,
+            from: self.name.clone(),
+            incarnation: 0,
+            term: 0,
+        };
+        let body = serde_json::json!({ "envelope": envelope, "request": request }).to_string();
+        let answer = http(self.addresses[self.caller.target()], "POST", "/v1/ask", body.as_bytes()).await;
+        let response = answer.and_then(|(_, body)| serde_json::from_slice::<Response>(&body).ok());
+        let pause = match &response {
+            Some(Response::Refused(Refusal::NotLeader { leader })) => {
+                let at = leader.as_ref().and_then(|peer| {
+                    self.addresses.iter().position(|address| address.to_string() == peer.address)
+                });
+                self.caller.hinted(at, 0.5)
+            }
+            None | Some(Response::Refused(Refusal::Unknown | Refusal::NotFormed(_) | Refusal::Over(_))) => {
+                self.caller.failed(0.5)
+            }
+            Some(_) => {
+                self.caller.settled();
+                return response.ok_or(Duration::ZERO);
+            }
+        };
+        Err(Duration::from_micros(pause))
+    }
+
+    /// Asks until it is settled, for so long.
+    async fn settled(&mut self, request: &Request, within: Duration) -> Option<Response> {
+        let until = Instant::now() + within;
+        loop {
+            match self.once(request).await {
+                Ok(response) => return Some(response),
+                Err(_) if Instant::now() > until => return None,
+                Err(pause) => sleep(pause).await,
+            }
+        }
+    }
+
+    async fn view(&mut self, prefix: &str, within: Duration) -> Option<View> {
+        let read = Request::Read { stale: false, prefix: prefix.into(), members: true };
+        match self.settled(&read, within).await {
+            Some(Response::Read(view)) => Some(view),
+            _ => None,
+        }
+    }
+
+    /// The next command under the session, which is opened if there is none.
+    async fn call(&mut self, command: Command) -> Option<Request> {
+        if self.session.is_none() {
+            let open = Request::Command(Call { session: None, command: Command::Open });
+            match self.settled(&open, PATIENCE).await {
+                Some(Response::Reply(Reply::Opened(session), _)) => self.session = Some(session),
+                _ => return None,
+            }
+        }
+        self.number += 1;
+        Some(Request::Command(Call { session: self.session.map(|session| (session, self.number)), command }))
+    }
+}
+
+impl Rig {
+    async fn new(plan: &Plan, seed: u64, program: &Path, folder: &Path) -> Result<Rig, String> {
+        let fault = |e: std::io::Error| e.to_string();
+        std::fs::create_dir_all(folder).map_err(fault)?;
+        let links = Links::default();
+        let (mut listens, mut proxies) = (Vec::new(), Vec::new());
+        for n in 0..plan.council {
+            let listen = free().await.map_err(fault)?;
+            proxies.push(links.before(&format!("c{n}"), listen).await.map_err(fault)?);
+            listens.push(listen);
+        }
+        let process = |name: String, file: PathBuf, command: &str, address| {
+            let arguments = vec![command.into(), "--config".into(), file.to_string_lossy().into()];
+            let (child, held, log) =
+                (RefCell::new(None), Cell::new(false), folder.join(format!("{name}.log")));
+            Rc::new(Process { name, arguments, log, child, held, address })
+        };
+        let election = plan.tick as f64 / 1e3 * 10.0;
+        let mut council = Vec::new();
+        for (n, listen) in listens.iter().enumerate() {
+            let mut text = format!(
+                "[council]\nfleet = \"{FLEET}\"\nname = \"c{n}\"\nlisten = \"{listen}\"\ndisk = \"c{n}.redb\"\nlease_ms = {}\n\
+                 election_ms = {election}\ndrift = {:?}\n",
+                plan.terms.term as f64 / 1e3,
+                plan.terms.drift
+            );
+            for (n, proxy) in proxies.iter().enumerate() {
+                text += &format!("[[council.peer]]\nname = \"c{n}\"\naddress = \"{proxy}\"\n");
+            }
+            let file = folder.join(format!("c{n}.toml"));
+            std::fs::write(&file, text).map_err(fault)?;
+            council.push(process(format!("c{n}"), file, "council", *listen));
+        }
+        let list: Vec<String> = proxies.iter().map(|proxy| format!("\"{proxy}\"")).collect();
+        let mut agents = Vec::new();
+        for n in 0..plan.agents {
+            let [front, ops, server] =
+                [free().await.map_err(fault)?, free().await.map_err(fault)?, free().await.map_err(fault)?];
+            let text = format!(
+                "[ops]\nlisten = \"{ops}\"\n[[class]]\nname = \"lookup\"\neffect = \"idempotent\"\naim_ms = 200\n\
+                 deadline_ms = 1000\n[[pool]]\nname = \"records\"\nmembership = \"static\"\n\
+                 server = [{{ name = \"s1\", address = \"{server}\" }}]\n[[front]]\nname = \"desk\"\nlisten = \"{front}\"\n\
+                 [fleet]\nname = \"{FLEET}\"\nmember = \"a{n}\"\nsite = \"site{}\"\ncouncil = [{}]\n",
+                n % plan.sites,
+                list.join(", ")
+            );
+            let file = folder.join(format!("a{n}.toml"));
+            std::fs::write(&file, text).map_err(fault)?;
+            agents.push(process(format!("a{n}"), file, "run", ops));
+        }
+        Ok(Rig {
+            plan: plan.clone(),
+            program: program.into(),
+            folder: folder.into(),
+            links,
+            council,
+            agents,
+            proxies,
+            begun: Instant::now(),
+            healed: Cell::new(false),
+            seen: RefCell::default(),
+            ended: RefCell::default(),
+            unknown: Cell::new(0),
+            looks: Cell::new(0),
+            faults: Cell::new(0),
+            out: RefCell::default(),
+            keys: RefCell::default(),
+            values: Cell::new(0),
+            rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            wrappers: RefCell::default(),
+        })
+    }
+
+    fn now(&self) -> Micros {
+        self.begun.elapsed().as_micros() as Micros
+    }
+
+    fn wrong(&self, what: String) {
+        self.seen.borrow_mut().wrongs.push(what);
+    }
+
+    async fn run(self: Rc<Self>) -> Result<Outcome, String> {
+        for process in self.council.iter().chain(&self.agents) {
+            process.start(&self.program)?;
+        }
+        let mut asker = Asker::new(&self, "judge");
+        if asker.view("note/", SETTLE).await.is_none() {
+            return Err(format!("the council was not formed; its logs are in {}", self.folder.display()));
+        }
+        if self.plan.operators > 0 {
+            for site in 0..self.plan.sites {
+                let most = self.plan.permits.to_string();
+                let site = format!("site{site}");
+                self.tool(&["fleet", "permits", "--site", &site, "--most", &most]).await;
+            }
+        }
+        let mut tasks: Vec<JoinHandle<()>> = Vec::new();
+        for agent in &self.agents {
+            tasks.push(spawn_local(Rc::clone(&self).look_after(Rc::clone(agent))));
+        }
+        let endings = spawn_local(Rc::clone(&self).note_endings());
+        let watchers: Vec<JoinHandle<Watched>> =
+            (0..self.plan.watchers).map(|n| spawn_local(Rc::clone(&self).watch(n))).collect();
+        let clients: Vec<JoinHandle<()>> =
+            (0..self.plan.clients).map(|n| spawn_local(Rc::clone(&self).client(n))).collect();
+        let operators: Vec<JoinHandle<()>> =
+            (0..self.plan.operators).map(|_| spawn_local(Rc::clone(&self).operator())).collect();
+        self.chaos().await;
+        self.healed.set(true);
+        self.links.clear();
+        for process in self.council.iter().chain(&self.agents) {
+            process.signal(Signal::CONT);
+        }
+        for client in clients.into_iter().chain(operators) {
+            let _ = client.await;
+        }
+        self.come_right(&mut asker).await;
+        for watcher in watchers {
+            let watched = watcher.await.unwrap_or_default();
+            self.seen.borrow_mut().watched.push(watched);
+        }
+        endings.abort();
+        tasks.iter().for_each(JoinHandle::abort);
+        self.last_look(&mut asker).await;
+        let seen = self.seen.take();
+        let settled = seen.done.iter().filter(|done| done.returned.is_some()).count();
+        let permits = seen.outs.len();
+        let (unknown, faults, looks) = (self.unknown.get(), self.faults.get(), self.looks.get());
+        Ok(Outcome { settled, unknown, faults, permits, looks, seen })
+    }
+
+    /// Everybody takes part again, and there is one state.
+    async fn come_right(&self, asker: &mut Asker) {
+        let until = Instant::now() + SETTLE;
+        while Instant::now() < until {
+            if let Some(view) = asker.view("budget/", PATIENCE).await {
+                let lives = |agent: &Rc<Process>| {
+                    view.members.get(&agent.name).is_some_and(|m| m.standing == Standing::Living && m.ready)
+                };
+                if self.agents.iter().all(lives) {
+                    return;
+                }
+            }
+            sleep(LOOK_EVERY).await;
+        }
+        self.wrong("nothing came right after the last fault".into());
+    }
+
+    /// All changes from the first on, and what stands there at the end.
+    async fn last_look(&self, asker: &mut Asker) {
+        let Some(view) = asker.view("", PATIENCE).await else { return };
+        let mut after = 0;
+        while after < view.revision {
+            let watch = Request::Watch { history: view.history, after, prefix: String::new() };
+            match asker.settled(&watch, PATIENCE).await {
+                Some(Response::Changes { changes, upto }) => {
+                    self.seen.borrow_mut().changes.extend(changes);
+                    after = upto;
+                }
+                other => return self.wrong(format!("the changes from {after} on can't be read: {other:?}")),
+            }
+        }
+        let mut keys: Vec<String> = self.seen.borrow().done.iter().map(|done| done.key.clone()).collect();
+        keys.sort();
+        keys.dedup();
+        let now = self.now();
+        for key in keys {
+            let value = view.records.get(&key).and_then(|record| record.value.parse().ok());
+            let done = Done { key, op: Op::Read(value), called: now, returned: Some(now + 1) };
+            self.seen.borrow_mut().done.push(done);
+        }
+    }
+
+    async fn tool(&self, words: &[&str]) -> Option<i32> {
+        let list: Vec<String> = self.proxies.iter().map(ToString::to_string).collect();
+        let depth = if words[0] == "fleet" { 2 } else { 1 };
+        let mut command = tokio::process::Command::new(&self.program);
+        command
+            .args(&words[..depth])
+            .args(["--council", &list.join(","), "--fleet", FLEET])
+            .args(&words[depth..]);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).kill_on_drop(true);
+        let mut child = command.spawn().ok()?;
+        let id = child.id().unwrap_or(0);
+        self.wrappers.borrow_mut().push(id);
+        let code = child.wait().await.ok().and_then(|status| status.code());
+        self.wrappers.borrow_mut().retain(|other| *other != id);
+        code
+    }
+
+    // Agents.
+
+    /// Starts an agent again when it has ended, and looks at what it says of its lease.
+    async fn look_after(self: Rc<Self>, agent: Rc<Process>) {
+        let mark = agent.log.with_extension("out");
+        loop {
+            sleep(LOOK_EVERY).await;
+            if agent.has_ended() && !agent.held.get() {
+                if std::fs::remove_file(&mark).is_ok() {
+                    let site = self.agents.iter().position(|other| other.name == agent.name).unwrap_or(0);
+                    let budget = format!("site{}", site % self.plan.sites);
+                    let mut seen = self.seen.borrow_mut();
+                    self.out.borrow_mut().insert(agent.name.clone(), seen.outs.len());
+                    let from = self.now();
+                    seen.outs.push(Out { budget, what: agent.name.clone(), from, to: None });
+                }
+                let down = self.rng.borrow_mut().random_range(100..2000);
+                sleep(Duration::from_millis(down)).await;
+                if let Err(why) = agent.start(&self.program) {
+                    self.wrong(why);
+                }
+            }
+            let known = self.ended.borrow().clone();
+            let Some((_, page)) = http(agent.address, "GET", "/-/metrics", b"").await else { continue };
+            let page = String::from_utf8_lossy(&page).into_owned();
+            let figure = |name: &str| {
+                let line = page.lines().find(|line| line.split(' ').next() == Some(name))?;
+                line.split(' ').nth(1)?.parse::<f64>().ok()
+            };
+            let Some((held, incarnation)) = figure("app_fleet_lease_held")
+                .zip(figure("app_fleet_incarnation"))
+                .map(|(h, i)| (h > 0.0, i as u64))
+            else {
+                continue;
+            };
+            self.looks.set(self.looks.get() + 1);
+            if let Some(at) = known.get(&(agent.name.clone(), incarnation)).filter(|_| held) {
+                self.wrong(format!("{} {incarnation} holds a lease that was seen ended at {at}", agent.name));
+            }
+            // Serving again: the end of what the permit was for.
+            if http(agent.address, "GET", "/-/ready", b"").await.is_some_and(|(status, _)| status == 200) {
+                if let Some(number) = self.out.borrow_mut().remove(&agent.name) {
+                    self.seen.borrow_mut().outs[number].to = Some(self.now());
+                }
+            }
+        }
+    }
+
+    /// Which leases the council counts as ended, as a reader sees it.
+    async fn note_endings(self: Rc<Self>) {
+        let mut asker = Asker::new(&self, "reader");
+        loop {
+            if let Some(view) = asker.view("budget/", PATIENCE).await {
+                let at = self.now();
+                for (name, member) in view.members {
+                    if !member.standing.may_hold() {
+                        self.ended.borrow_mut().entry((name, member.incarnation)).or_insert(at);
+                    }
+                }
+            }
+            sleep(LOOK_EVERY).await;
+        }
+    }
+
+    // Whoever reads, writes and watches.
+
+    fn key(&self) -> String {
+        let mut rng = self.rng.borrow_mut();
+        let mut keys = self.keys.borrow_mut();
+        while keys.0.len() < 4 {
+            keys.1 += 1;
+            let name = format!("note/{:05}", keys.1);
+            keys.0.push((name, 0));
+        }
+        let place = rng.random_range(0..keys.0.len());
+        keys.0[place].1 += 1;
+        let key = keys.0[place].0.clone();
+        if keys.0[place].1 >= OPS_A_KEY {
+            keys.0.swap_remove(place);
+        }
+        key
+    }
+
+    async fn client(self: Rc<Self>, number: usize) {
+        let mut asker = Asker::new(&self, &format!("k{number}"));
+        let mut seen: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+        while !self.healed.get() {
+            let key = self.key();
+            let roll: f64 = self.rng.borrow_mut().random();
+            let new = self.values.get() + 1;
+            self.values.set(new);
+            let called = self.now();
+            let op = match roll {
+                r if r < 0.4 => Op::Read(None),
+                r if r < 0.75 => Op::Swap(seen.get(&key).map(|seen| seen.0), new, true),
+                _ => Op::Put(new),
+            };
+            let mut checks = Vec::new();
+            if let Op::Swap(..) = op {
+                let at = seen.get(&key).map(|(_, revision)| Check::At(key.clone(), *revision));
+                checks.push(at.unwrap_or(Check::Absent(key.clone())));
+            }
+            let request = match op {
+                Op::Read(_) => Some(Request::Read { stale: false, prefix: key.clone(), members: false }),
+                _ => {
+                    let writes = vec![Write::Put(key.clone(), new.to_string())];
+                    asker.call(Command::Write(Txn { checks, writes })).await
+                }
+            };
+            let Some(request) = request else { continue };
+            let response = asker.settled(&request, PATIENCE).await;
+            let returned = Some(self.now());
+            let (op, returned) = match (response, op) {
+                (Some(Response::Read(view)), Op::Read(_)) => {
+                    let record = view.records.get(&key);
+                    let value: Option<u64> = record.and_then(|record| record.value.parse().ok());
+                    match record.zip(value) {
+                        Some((record, value)) => drop(seen.insert(key.clone(), (value, record.revision))),
+                        None => drop(seen.remove(&key)),
+                    }
+                    (Op::Read(value), returned)
+                }
+                (Some(Response::Reply(Reply::Done(revision), _)), op) => {
+                    seen.insert(key.clone(), (new, revision));
+                    (op, returned)
+                }
+                (Some(Response::Reply(Reply::Conflict { .. }, _)), Op::Swap(old, new, _)) => {
+                    (Op::Swap(old, new, false), returned)
+                }
+                (other, op) => {
+                    if matches!(other, Some(Response::Reply(Reply::NoSession, _))) {
+                        asker.session = None;
+                    }
+                    self.unknown.set(self.unknown.get() + 1);
+                    let unknown = match op {
+                        Op::Put(new) => Op::MaybePut(new),
+                        Op::Swap(old, new, _) => Op::MaybeSwap(old, new),
+                        other => other,
+                    };
+                    (unknown, None)
+                }
+            };
+            self.seen.borrow_mut().done.push(Done { key, op, called, returned });
+            let pause = self.rng.borrow_mut().random_range(self.plan.pause / 2..=self.plan.pause * 3 / 2);
+            sleep(Duration::from_micros(pause)).await;
+        }
+    }
+
+    async fn watch(self: Rc<Self>, number: usize) -> Watched {
+        let mut asker = Asker::new(&self, &format!("w{number}"));
+        let mut watched = Watched::default();
+        let mut from: Option<(u64, u64)> = None;
+        while !self.healed.get() {
+            let request = match from {
+                None => Request::Read { stale: false, prefix: String::new(), members: true },
+                Some((history, after)) => Request::Watch { history, after, prefix: String::new() },
+            };
+            match asker.once(&request).await {
+                Ok(Response::Read(view)) => {
+                    from = Some((view.history, view.revision));
+                    watched.stretches.push((view.history, view.revision, Vec::new(), view.revision));
+                }
+                Ok(Response::Changes { changes, upto }) => {
+                    if let Some(stretch) = watched.stretches.last_mut() {
+                        stretch.2.extend(changes);
+                        stretch.3 = upto;
+                        from = Some((stretch.0, upto));
+                    }
+                }
+                Ok(_) => from = None,
+                Err(pause) => sleep(pause).await,
+            }
+        }
+        watched
+    }
+
+    /// Takes agents out under permits, with the program's own wrapper.
+    async fn operator(self: Rc<Self>) {
+        while !self.healed.get() {
+            let pause = self.rng.borrow_mut().random_range(100..1500);
+            sleep(Duration::from_millis(pause)).await;
+            let agent = self.rng.borrow_mut().random_range(0..self.agents.len().max(1));
+            let Some(agent) = self.agents.get(agent) else { return };
+            // The mark says that it was by a permit. A stopped agent is killed like any other.
+            let (mark, pid) = (agent.log.with_extension("out"), agent.log.with_extension("pid"));
+            let line = format!("touch '{}'; kill -9 $(cat '{}')", mark.display(), pid.display());
+            let thing = format!("agent:{}", agent.name);
+            let words = ["hold", "--for", &thing, "--why", "lab", "--", "sh", "-c", &line];
+            // After the last fault nobody waits for an agent that a command missed.
+            tokio::select! {
+                _ = self.tool(&words) => {}
+                () = async { while !self.healed.get() { sleep(LOOK_EVERY).await } } => {}
+            }
+        }
+    }
+
+    // Faults.
+
+    fn some<'a>(&self, of: &'a [Rc<Process>]) -> Option<&'a Rc<Process>> {
+        of.choose(&mut *self.rng.borrow_mut())
+    }
+
+    async fn chaos(self: &Rc<Self>) {
+        let ends = Instant::now() + Duration::from_micros(self.plan.length);
+        if self.plan.every == 0 || self.plan.faults.is_empty() {
+            tokio::time::sleep_until(ends).await;
+            return;
+        }
+        let mut faults = Vec::new();
+        while Instant::now() < ends && !crate::stage::INTERRUPTED.load(std::sync::atomic::Ordering::Relaxed) {
+            let (kind, length, pause) = {
+                let mut rng = self.rng.borrow_mut();
+                let kind = *self.plan.faults.choose(&mut *rng).unwrap_or(&Kind::Cut);
+                let length = rng.random_range(self.plan.tick..=self.plan.most);
+                (kind, length, rng.random_range(self.plan.every / 4..=self.plan.every * 7 / 4))
+            };
+            self.faults.set(self.faults.get() + 1);
+            faults.push(spawn_local(Rc::clone(self).begin(kind, Duration::from_micros(length))));
+            sleep(Duration::from_micros(pause)).await;
+        }
+        // Each ends by itself: what it held is let go then.
+        for fault in faults {
+            let _ = fault.await;
+        }
+    }
+
+    async fn begin(self: Rc<Self>, kind: Kind, length: Duration) {
+        let council: Vec<String> = self.council.iter().map(|process| process.name.clone()).collect();
+        let clients = (0..self.plan.clients).map(|n| format!("k{n}"));
+        let watchers = (0..self.plan.watchers).map(|n| format!("w{n}"));
+        let agents = self.agents.iter().map(|process| process.name.clone());
+        let all: Vec<String> = council.iter().cloned().chain(agents).chain(clients).chain(watchers).collect();
+        let one = self.some(&self.council).map_or_else(String::new, |process| process.name.clone());
+        let other = all.choose(&mut *self.rng.borrow_mut()).cloned().unwrap_or_default();
+        let pairs = |are: &dyn Fn(&str, &str) -> bool| -> Vec<(String, String)> {
+            let pair = |a: &String| all.iter().map(|b| (a.clone(), b.clone())).collect::<Vec<_>>();
+            all.iter().flat_map(pair).filter(|(a, b)| a != b && are(a, b)).collect()
+        };
+        let late = Duration::from_millis(self.rng.borrow_mut().random_range(100..5000));
+        match kind {
+            Kind::StopCouncil => self.stop(self.some(&self.council).cloned(), length).await,
+            Kind::StopAgent | Kind::TwinAgent => self.stop(self.some(&self.agents).cloned(), length).await,
+            Kind::KillCouncil => self.restart(self.some(&self.council).cloned(), length, false).await,
+            Kind::KillAgent => self.restart(self.some(&self.agents).cloned(), length, false).await,
+            Kind::EmptyDisk => self.restart(self.some(&self.council).cloned(), length, true).await,
+            Kind::StopOperator | Kind::KillOperator => {
+                let id = self.wrappers.borrow().choose(&mut *self.rng.borrow_mut()).copied();
+                let pid = id.and_then(|id| Pid::from_raw(id as i32));
+                let Some(pid) = pid else { return };
+                if kind == Kind::KillOperator {
+                    let _ = kill_process(pid, Signal::KILL);
+                    return;
+                }
+                let _ = kill_process(pid, Signal::STOP);
+                sleep(length).await;
+                if self.wrappers.borrow().iter().any(|other| Some(*other) == id) {
+                    let _ = kill_process(pid, Signal::CONT);
+                }
+            }
+            Kind::Cut => {
+                self.spoil(
+                    pairs(&|a, b| (a, b) == (&one, &other) || (b, a) == (&one, &other)),
+                    Does::Drops,
+                    length,
+                )
+                .await
+            }
+            Kind::OneWay => {
+                let back = self.rng.borrow_mut().random_bool(0.5);
+                let way = if back { (other, one) } else { (one, other) };
+                self.spoil(vec![way], Does::Drops, length).await;
+            }
+            Kind::Split => {
+                let part: BTreeMap<String, bool> =
+                    all.iter().map(|name| (name.clone(), self.rng.borrow_mut().random_bool(0.5))).collect();
+                self.spoil(pairs(&|a, b| part[a] != part[b]), Does::Drops, length).await;
+            }
+            Kind::Ring => {
+                let place = |name: &str| council.iter().position(|other| other == name);
+                let next = |a: &str, b: &str| {
+                    place(a).zip(place(b)).is_some_and(|(a, b)| (a + 1) % council.len() == b)
+                };
+                self.spoil(pairs(&|a, b| next(a, b) || next(b, a)), Does::Resets, length).await;
+            }
+            Kind::Slow => {
+                let drips = self.rng.borrow_mut().random_bool(0.3);
+                let does = if drips { Does::Drips(400) } else { Does::Delays(late) };
+                self.spoil(vec![(one.clone(), other.clone()), (other, one)], does, length).await;
+            }
+            Kind::Hold => {
+                self.spoil(vec![(one.clone(), other.clone()), (other, one)], Does::Holds, length).await
+            }
+            Kind::LostReplies => {
+                self.spoil(pairs(&|a, b| a == one && !council.iter().any(|c| c == b)), Does::Drops, length)
+                    .await
+            }
+            Kind::SlowProcess => {
+                self.spoil(pairs(&|a, b| a == one || b == one), Does::Delays(late), length).await
+            }
+        }
+    }
+
+    async fn spoil(&self, links: Vec<(String, String)>, does: Does, length: Duration) {
+        for (from, to) in &links {
+            self.links.set(from, to, does);
+        }
+        sleep(length).await;
+        for (from, to) in &links {
+            self.links.set(from, to, Does::Passes);
+        }
+    }
+
+    async fn stop(&self, process: Option<Rc<Process>>, length: Duration) {
+        let Some(process) = process.filter(|process| !process.held.replace(true)) else { return };
+        process.signal(Signal::STOP);
+        sleep(length).await;
+        process.signal(Signal::CONT);
+        process.held.set(false);
+    }
+
+    /// Kills a process and starts it again; a council process on an empty disk is taken in as another.
+    async fn restart(&self, process: Option<Rc<Process>>, length: Duration, empty: bool) {
+        let Some(process) = process.filter(|process| !process.held.replace(true)) else { return };
+        process.kill().await;
+        sleep(length).await;
+        // One at a time: a council that has lost a majority of its disks is gone.
+        let others = self.council.iter().filter(|other| other.name != process.name);
+        let empty = empty && others.into_iter().all(|other| !other.held.get());
+        if empty {
+            let _ = std::fs::remove_file(self.folder.join(format!("{}.redb", process.name)));
+        }
+        if let Err(why) = process.start(&self.program) {
+            self.wrong(why);
+        }
+        if empty {
+            while self.tool(&["fleet", "replace", &process.name]).await != Some(0) {
+                sleep(LOOK_EVERY).await;
+            }
+        }
+        process.held.set(false);
+    }
+}
