--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -44,6 +44,16 @@
     });
 }
 
+/// Whether a seed held, and the first things that were wrong.
+fn verdict(wrongs: &[String]) -> String {
+    let mut text = String::from(if wrongs.is_empty() { "held" } else { "BROKEN" });
+    for wrong in wrongs.iter().take(5) {
+        let cut: String = wrong.chars().take(600).collect();
+        let _ = write!(text, "\n  {cut}");
+    }
+    text
+}
+
 /// A line for each seed that is wrong, and one for all; whether all held.
 pub fn run(
     plan: &Plan,
@@ -74,11 +84,11 @@
                 "seed {seed}: {} operations, {} of unknown outcome, {} faults, {} leaders, {} permits, digest {:016x}: ",
                 figures[0], figures[1], figures[2], figures[3], figures[4], outcome.digest
             );
-            line += if wrongs.is_empty() { "held" } else { "BROKEN" };
-            for wrong in wrongs.iter().take(5) {
-                let cut: String = wrong.chars().take(600).collect();
-                let _ = write!(line, "\n  {cut}");
+            if let Some((messages, bytes)) = outcome.at_leader {
+                let _ =
+                    write!(line, "at the leader {messages:.0} messages and {:.1} kB a second, ", bytes / 1e3);
             }
+            line += &verdict(&wrongs);
             say(&line);
         }
         broken += usize::from(!wrongs.is_empty());
@@ -122,11 +132,7 @@
             outcome.looks,
             outcome.seen.watched.iter().map(|watched| watched.stretches.len()).sum::<usize>()
         );
-        line += if wrongs.is_empty() { "held" } else { "BROKEN" };
-        for wrong in wrongs.iter().take(5) {
-            let cut: String = wrong.chars().take(600).collect();
-            let _ = write!(line, "\n  {cut}");
-        }
+        line += &verdict(&wrongs);
         say(&line);
         broken += usize::from(!wrongs.is_empty());
         if wrongs.is_empty() {
--- a/crates/lab/src/processes/plan.rs
+++ b/crates/lab/src/processes/plan.rs
@@ -2,7 +2,7 @@
 //! fault of a file is told with its place.
 
 use crate::world::Micros;
-use heronhoist_config::reader::{number, tables, text, texts, whole, Absent, Reader, Section};
+use heronhoist_config::reader::{flag, number, tables, text, texts, whole, Absent, Reader, Section};
 use heronhoist_config::Fault;
 use heronhoist_council::lease::Terms;
 use toml::de::DeValue;
@@ -50,6 +50,8 @@
     pub faults: Vec<Kind>,
     /// Faults at stated times.
     pub listed: Vec<Listed>,
+    /// Messages and bytes at the leader are counted.
+    pub measured: bool,
     /// What is wrong on purpose.
     pub planted: Planted,
 }
@@ -104,9 +106,11 @@
     LostReplies,
     /// All that a process says or hears comes late by some seconds.
     SlowProcess,
+    /// A council process is cut from everybody.
+    Isolate,
 }
 
-const KINDS: [(&str, Kind); 16] = [
+const KINDS: [(&str, Kind); 17] = [
     ("stop-council", Kind::StopCouncil),
     ("kill-council", Kind::KillCouncil),
     ("empty-disk", Kind::EmptyDisk),
@@ -123,6 +127,7 @@
     ("hold", Kind::Hold),
     ("lost-replies", Kind::LostReplies),
     ("slow-process", Kind::SlowProcess),
+    ("isolate", Kind::Isolate),
 ];
 
 /// What is done wrongly on purpose, to see that it is found.
@@ -206,6 +211,7 @@
 fn read<'t>(reader: &mut Reader<'t>, mut root: Section<'t>) -> Option<Plan> {
     let name = reader.get(&mut root, "name", Absent::Fault, "a name", text);
     let length = ms(reader, &mut root, "length_ms", Absent::Fault);
+    let measured = reader.get(&mut root, "measured", Absent::Default(false), "true or false", flag);
     let planted = reader.get(
         &mut root,
         "planted",
@@ -295,6 +301,7 @@
         most: most?.max(1000),
         faults: faults?,
         listed,
+        measured: measured?,
         planted: planted?,
     })
 }
--- a/crates/lab/src/processes/rig.rs
+++ b/crates/lab/src/processes/rig.rs
@@ -730,6 +730,7 @@
                 self.spoil(pairs(&|a, b| a == one && !council.iter().any(|c| c == b)), Does::Drops, length)
                     .await
             }
+            Kind::Isolate => self.spoil(pairs(&|a, b| a == one || b == one), Does::Drops, length).await,
             Kind::SlowProcess => {
                 self.spoil(pairs(&|a, b| a == one || b == one), Does::Delays(late), length).await
             }
--- a/crates/lab/src/processes/world.rs
+++ b/crates/lab/src/processes/world.rs
@@ -53,6 +53,8 @@
     pub messages: u64,
     /// Bytes of messages between processes of the council.
     pub raft_bytes: u64,
+    /// Where that is measured: messages and bytes that the leader sent or was sent, in a second of the second half.
+    pub at_leader: Option<(f64, f64)>,
     /// Permits that were given.
     pub permits: usize,
     /// Faults that were begun.
@@ -113,6 +115,18 @@
     Response(u64, Response),
 }
 
+impl Parcel {
+    /// Bytes of what is said, without the HTTP round it.
+    fn size(&self) -> u64 {
+        let json = |length: Result<Vec<u8>, _>| length.map_or(0, |bytes: Vec<u8>| bytes.len() as u64);
+        match self {
+            Parcel::Raft(bytes) => bytes.len() as u64,
+            Parcel::Request(_, _, envelope, request) => json(serde_json::to_vec(&(envelope, request))),
+            Parcel::Response(_, response) => json(serde_json::to_vec(response)),
+        }
+    }
+}
+
 enum Event {
     Tick(usize, u32),
     Deliver(usize, usize, Parcel),
@@ -243,6 +257,9 @@
     leader_lost: Option<Micros>,
     healed: bool,
     replacing: bool,
+    /// A council process that nobody can reach; whether it believes that it leads is no matter.
+    isolated: Option<u64>,
+    counted: (u64, u64),
     /// What is out by a permit, and where that stands.
     out: BTreeMap<String, usize>,
     outcome: Outcome,
@@ -265,6 +282,7 @@
             leaderless: Vec::new(),
             messages: 0,
             raft_bytes: 0,
+            at_leader: None,
             permits: 0,
             faults: 0,
             digest: 0,
@@ -288,6 +306,8 @@
             leader_lost: Some(0),
             healed: false,
             replacing: false,
+            isolated: None,
+            counted: (0, 0),
             out: BTreeMap::new(),
             outcome,
         };
@@ -553,6 +573,13 @@
 
     fn send(&mut self, from: usize, to: usize, parcel: Parcel) {
         self.outcome.messages += 1;
+        if self.plan.measured && self.now > self.plan.length / 2 && self.now <= self.plan.length {
+            let leader = self.leader.and_then(|number| self.numbers.get(&number).copied());
+            if leader.is_some_and(|leader| leader == from || leader == to) {
+                self.counted.0 += 1;
+                self.counted.1 += parcel.size();
+            }
+        }
         let spread = if self.plan.spread == 0 { 0 } else { self.rng.random_range(0..=self.plan.spread) };
         let link = self.links.entry((from, to)).or_default();
         if link.dropped > 0 {
@@ -648,7 +675,7 @@
             }
         }
         let Role::Council { desk: Some(desk), number: own, .. } = &self.processes[at].role else { return };
-        if desk.node().leads() && self.leader != Some(*own) {
+        if desk.node().leads() && self.leader != Some(*own) && self.isolated != Some(*own) {
             self.leader = Some(*own);
             self.outcome.leaders += 1;
             if let Some(lost) = self.leader_lost.take().filter(|lost| *lost > 0) {
@@ -1330,6 +1357,7 @@
 
     fn heal_all(&mut self) {
         self.healed = true;
+        self.isolated = None;
         let links: Vec<(usize, usize)> = self.links.keys().copied().collect();
         for link in &links {
             let of = self.links.entry(*link).or_default();
@@ -1449,6 +1477,16 @@
                     self.spoil(replies, Kind::OneWay, length);
                 }
             }
+            Kind::Isolate => {
+                if let Some(one) = one_of_council {
+                    if let Role::Council { number, .. } = self.processes[one].role {
+                        self.isolated = Some(number);
+                        self.lose(Some(number));
+                    }
+                    let all = self.pairs(|a, b| a == one || b == one);
+                    self.spoil(all, Kind::Cut, length);
+                }
+            }
             Kind::SlowProcess => {
                 if let Some(one) = one_of_council {
                     let all = self.pairs(|a, b| a == one || b == one);
@@ -1548,6 +1586,11 @@
                 self.outcome.seen.wrongs.push("no member is living at the end".into());
             }
         }
+        if self.plan.measured {
+            let seconds = self.plan.length as f64 / 2e6;
+            let (messages, bytes) = self.counted;
+            self.outcome.at_leader = Some((messages as f64 / seconds, bytes as f64 / seconds));
+        }
         let mut hasher = DefaultHasher::new();
         format!("{:?}", (&self.outcome.seen.done, &self.outcome.seen.beliefs, self.outcome.messages))
             .hash(&mut hasher);
