Play the council's hard cases one by one, and stop a process whose history was put back

Random faults show that nothing broke, not that a given hard case was met. And a process that knows an entry as agreed which the leader now has otherwise (disks put back to older copies) would have ended in a panic of the Raft library.

A council file may say log_entries and changes. Node::receive compares appended entries with what it knows as agreed and ends the process with one line; that guard has no test yet.

--- a/check.sh
+++ b/check.sh
@@ -11,7 +11,7 @@
 lab() {
     cargo run --quiet --locked -p heronhoist-lab -- "$@"
 }
-lab check scenarios/*.toml scenarios/found/*.toml
+lab check scenarios/*.toml scenarios/council/*.toml scenarios/found/*.toml
 for scenario in herd zone-cut rolling-release; do
     lab run "scenarios/$scenario.toml" --seeds 1..2
 done
@@ -51,6 +51,9 @@
 planted=0
 lab run scenarios/council-permits.toml --seeds 1..20 --set 'planted="freed-by-silence"' || planted=$?
 test "$planted" -eq 1
+for scenario in scenarios/council/*.toml; do
+    lab run "$scenario" --seeds 1..4
+done
 # The same with processes of the program behind faulty links, for a few seconds.
 lab run scenarios/council-faults.toml --seeds 1 --real --set length_ms=6000
 lab run scenarios/council-permits.toml --seeds 1 --real --set length_ms=6000 --set agents.count=6
--- a/crates/agent/src/fleet/council.rs
+++ b/crates/agent/src/fleet/council.rs
@@ -13,7 +13,7 @@
 use heronhoist_council::node::{Fault, Node, Settings, Standpoint};
 use heronhoist_council::state::{Peer, State};
 use heronhoist_council::wire::{belongs, Envelope, Refusal, Request, Response, PROTOCOL};
-use heronhoist_council::Time;
+use heronhoist_council::{Bounds, Time};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
@@ -372,6 +372,11 @@
             terms: Terms { term: self.config.lease.as_micros() as Time, drift: self.config.drift },
             tick,
             election_ticks: ELECTION_TICKS,
+            bounds: Bounds {
+                log_entries: self.config.log_entries,
+                changes: self.config.changes,
+                ..Bounds::default()
+            },
             ..Settings::default()
         };
         let number = self.identity.borrow().number;
--- a/crates/config/src/council.rs
+++ b/crates/config/src/council.rs
@@ -40,6 +40,10 @@
     pub drift: f64,
     /// A follower that hears nothing for one to two times this stands for election.
     pub election: Duration,
+    /// Log entries that are kept behind a snapshot.
+    pub log_entries: usize,
+    /// Changes that are kept for watchers.
+    pub changes: usize,
     /// All processes of the council, this one with them.
     pub peers: Vec<(String, SocketAddr)>,
 }
@@ -111,6 +115,14 @@
             reader.fault(&section, "lease_ms", what);
         }
     }
+    let mut count = |section: &mut Section<'t>, key| {
+        let read = |value: &DeValue<'_>| {
+            whole(value).and_then(|n| usize::try_from(n).ok()).filter(|n| (64..=1 << 20).contains(n))
+        };
+        reader.get(section, key, Absent::Default(4096), "64 to 1048576", read)
+    };
+    let log_entries = count(&mut section, "log_entries");
+    let changes = count(&mut section, "changes");
     let mut peers: Vec<(String, SocketAddr)> = Vec::new();
     for mut peer in reader.sections(&mut section, "peer") {
         let name = reader.get(&mut peer, "name", Absent::Fault, NAME, name);
@@ -145,6 +157,8 @@
         lease: lease?,
         drift: drift?,
         election: election?,
+        log_entries: log_entries?,
+        changes: changes?,
         peers,
     })
 }
--- a/crates/council/src/node.rs
+++ b/crates/council/src/node.rs
@@ -105,6 +105,9 @@
         /// What the leader knows it had.
         commit: u64,
     },
+    /// The leader has another entry where this process knows that one was agreed: disks were put back to older copies.
+    #[error("the council has another history than this disk: entry {0} was agreed otherwise; were older copies of disks put back? Stop all, and restore from a copy or from this disk")]
+    OtherHistory(u64),
     /// The Raft library found something that can't be.
     #[error("raft: {0}")]
     Raft(String),
@@ -352,6 +355,15 @@
         if kind == MessageType::MsgHeartbeat && message.term >= self.raw.raft.term && message.commit > last {
             return Err(Fault::OldDisk { last, commit: message.commit });
         }
+        if kind == MessageType::MsgAppend && message.term >= self.raw.raft.term {
+            let log = &self.raw.raft.raft_log;
+            let agreed = message.entries.iter().take_while(|entry| entry.index <= log.committed);
+            let mut otherwise =
+                agreed.filter(|entry| log.term(entry.index).is_ok_and(|term| term != entry.term));
+            if let Some(entry) = otherwise.next() {
+                return Err(Fault::OtherHistory(entry.index));
+            }
+        }
         // What the library does not take is as if it was lost.
         let _ = self.raw.step(message);
         self.draw_timeout();
--- a/crates/lab/src/processes/rig.rs
+++ b/crates/lab/src/processes/rig.rs
@@ -266,10 +266,12 @@
         for (n, listen) in listens.iter().enumerate() {
             let mut text = format!(
                 "[council]\nfleet = \"{FLEET}\"\nname = \"c{n}\"\nlisten = \"{listen}\"\ndisk = \"c{n}.redb\"\nlease_ms = {}\n\
-                 election_ms = {election}\ndrift = {:?}\n",
+                 election_ms = {election}\ndrift = {:?}\nlog_entries = {}\n",
                 plan.terms.term as f64 / 1e3,
-                plan.terms.drift
+                plan.terms.drift,
+                plan.log_entries.max(64)
             );
+            // Changes are kept as many as the program keeps: watchers are judged by all of them, read at the end.
             for (n, proxy) in proxies.iter().enumerate() {
                 text += &format!("[[council.peer]]\nname = \"c{n}\"\naddress = \"{proxy}\"\n");
             }
@@ -637,13 +639,25 @@
     }
 
     async fn chaos(self: &Rc<Self>) {
-        let ends = Instant::now() + Duration::from_micros(self.plan.length);
+        let begun = Instant::now();
+        let ends = begun + Duration::from_micros(self.plan.length);
+        let mut faults = Vec::new();
+        for listed in self.plan.listed.clone() {
+            let rig = Rc::clone(self);
+            faults.push(spawn_local(async move {
+                tokio::time::sleep_until(begun + Duration::from_micros(listed.at)).await;
+                rig.faults.set(rig.faults.get() + 1);
+                let (who, to) = (listed.who.as_deref(), listed.to.as_deref());
+                Rc::clone(&rig).begin(listed.what, (who, to), Duration::from_micros(listed.length)).await;
+            }));
+        }
         if self.plan.every == 0 || self.plan.faults.is_empty() {
             tokio::time::sleep_until(ends).await;
-            return;
         }
-        let mut faults = Vec::new();
-        while Instant::now() < ends && !crate::stage::INTERRUPTED.load(std::sync::atomic::Ordering::Relaxed) {
+        while self.plan.every > 0
+            && Instant::now() < ends
+            && !crate::stage::INTERRUPTED.load(std::sync::atomic::Ordering::Relaxed)
+        {
             let (kind, length, pause) = {
                 let mut rng = self.rng.borrow_mut();
                 let kind = *self.plan.faults.choose(&mut *rng).unwrap_or(&Kind::Cut);
@@ -651,7 +665,11 @@
                 (kind, length, rng.random_range(self.plan.every / 4..=self.plan.every * 7 / 4))
             };
             self.faults.set(self.faults.get() + 1);
-            faults.push(spawn_local(Rc::clone(self).begin(kind, Duration::from_micros(length))));
+            faults.push(spawn_local(Rc::clone(self).begin(
+                kind,
+                (None, None),
+                Duration::from_micros(length),
+            )));
             sleep(Duration::from_micros(pause)).await;
         }
         // Each ends by itself: what it held is let go then.
@@ -660,25 +678,51 @@
         }
     }
 
-    async fn begin(self: Rc<Self>, kind: Kind, length: Duration) {
+    /// The process that is meant: by its name, or `leader`.
+    async fn meant(&self, who: Option<&str>, of: &[Rc<Process>]) -> Option<Rc<Process>> {
+        match who {
+            None => self.some(of).cloned(),
+            Some("leader") => {
+                for process in &self.council {
+                    let ask = serde_json::json!({
+                        "envelope": { "fleet": FLEET, "protocol": PROTOCOL, "from": "rig", "incarnation": 0, "term": 0 },
+                        "request": Request::Status,
+                    });
+                    let answer = http(process.address, "POST", "/v1/ask", ask.to_string().as_bytes()).await;
+                    let response =
+                        answer.and_then(|(_, body)| serde_json::from_slice::<Response>(&body).ok());
+                    if matches!(response, Some(Response::Status(stand, _)) if stand.leader == stand.number) {
+                        return Some(Rc::clone(process));
+                    }
+                }
+                self.some(of).cloned()
+            }
+            Some(name) => of.iter().find(|process| process.name == name).cloned(),
+        }
+    }
+
+    async fn begin(self: Rc<Self>, kind: Kind, (who, to): (Option<&str>, Option<&str>), length: Duration) {
         let council: Vec<String> = self.council.iter().map(|process| process.name.clone()).collect();
         let clients = (0..self.plan.clients).map(|n| format!("k{n}"));
         let watchers = (0..self.plan.watchers).map(|n| format!("w{n}"));
         let agents = self.agents.iter().map(|process| process.name.clone());
         let all: Vec<String> = council.iter().cloned().chain(agents).chain(clients).chain(watchers).collect();
-        let one = self.some(&self.council).map_or_else(String::new, |process| process.name.clone());
-        let other = all.choose(&mut *self.rng.borrow_mut()).cloned().unwrap_or_default();
+        let council_process = self.meant(who, &self.council).await;
+        let agent_process = self.meant(who, &self.agents).await;
+        let one = council_process.as_ref().map_or_else(String::new, |process| process.name.clone());
+        let drawn = || all.choose(&mut *self.rng.borrow_mut()).cloned().unwrap_or_default();
+        let other = to.map_or_else(drawn, String::from);
         let pairs = |are: &dyn Fn(&str, &str) -> bool| -> Vec<(String, String)> {
             let pair = |a: &String| all.iter().map(|b| (a.clone(), b.clone())).collect::<Vec<_>>();
             all.iter().flat_map(pair).filter(|(a, b)| a != b && are(a, b)).collect()
         };
         let late = Duration::from_millis(self.rng.borrow_mut().random_range(100..5000));
         match kind {
-            Kind::StopCouncil => self.stop(self.some(&self.council).cloned(), length).await,
-            Kind::StopAgent | Kind::TwinAgent => self.stop(self.some(&self.agents).cloned(), length).await,
-            Kind::KillCouncil => self.restart(self.some(&self.council).cloned(), length, false).await,
-            Kind::KillAgent => self.restart(self.some(&self.agents).cloned(), length, false).await,
-            Kind::EmptyDisk => self.restart(self.some(&self.council).cloned(), length, true).await,
+            Kind::StopCouncil => self.stop(council_process, length).await,
+            Kind::StopAgent | Kind::TwinAgent => self.stop(agent_process, length).await,
+            Kind::KillCouncil => self.restart(council_process, length, false).await,
+            Kind::KillAgent => self.restart(agent_process, length, false).await,
+            Kind::EmptyDisk => self.restart(council_process, length, true).await,
             Kind::StopOperator | Kind::KillOperator => {
                 let id = self.wrappers.borrow().choose(&mut *self.rng.borrow_mut()).copied();
                 let pid = id.and_then(|id| Pid::from_raw(id as i32));
