--- a/crates/council/src/node.rs
+++ b/crates/council/src/node.rs
@@ -357,7 +357,9 @@
         }
         if kind == MessageType::MsgAppend && message.term >= self.raw.raft.term {
             let log = &self.raw.raft.raft_log;
-            let agreed = message.entries.iter().take_while(|entry| entry.index <= log.committed);
+            // Of what a snapshot has taken the place of, the library says no term.
+            let agreed = log.first_index()..=log.committed;
+            let agreed = message.entries.iter().filter(|entry| agreed.contains(&entry.index));
             let mut otherwise =
                 agreed.filter(|entry| log.term(entry.index).is_ok_and(|term| term != entry.term));
             if let Some(entry) = otherwise.next() {
--- a/crates/lab/src/processes/rig.rs
+++ b/crates/lab/src/processes/rig.rs
@@ -505,7 +505,7 @@
     fn key(&self) -> String {
         let mut rng = self.rng.borrow_mut();
         let mut keys = self.keys.borrow_mut();
-        while keys.0.len() < 4 {
+        while keys.0.len() < self.plan.clients.div_ceil(2).max(4) {
             keys.1 += 1;
             let name = format!("note/{:05}", keys.1);
             keys.0.push((name, 0));
--- a/crates/lab/src/processes/world.rs
+++ b/crates/lab/src/processes/world.rs
@@ -914,7 +914,7 @@
         if self.healed {
             return None;
         }
-        while self.keys.len() < 4 {
+        while self.keys.len() < self.plan.clients.div_ceil(2).max(4) {
             self.keys_made += 1;
             self.keys.push((format!("note/{:05}", self.keys_made), 0));
         }
