Draw the lab's operations in one place for both modes, and start runtimes in one

Read again: the simulated and the real mode of council scenarios each wrote which records clients work on, which operation comes next and what one of unknown outcome is; three places built the same runtime; fields of the simulated world were written and never read.

processes/workload.rs serves both modes, on_one_thread all three programs' parts; the dead fields are gone.

--- a/crates/agent/src/cli.rs
+++ b/crates/agent/src/cli.rs
@@ -98,11 +98,11 @@
             }
         },
         Some(Command::Council(what)) => fail(&become_council(&what), 1),
-        Some(Command::Fleet { tool }) => match aside(tools::run(tool)) {
+        Some(Command::Fleet { tool }) => match crate::on_one_thread(tools::run(tool)) {
             Ok(Ok(text)) => print(&text),
             Ok(Err(fault)) | Err(fault) => fail(&fault, 1),
         },
-        Some(Command::Hold(what)) => match aside(hold::run(what)) {
+        Some(Command::Hold(what)) => match crate::on_one_thread(hold::run(what)) {
             Ok(code) => ExitCode::from(code),
             Err(fault) => fail(&fault, 1),
         },
@@ -113,13 +113,6 @@
     }
 }
 
-/// A command that calls other processes.
-fn aside<T>(what: impl std::future::Future<Output = T>) -> Result<T, String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"))?;
-    Ok(tokio::task::LocalSet::new().block_on(&runtime, what))
-}
-
 /// The program of a council process stands beside this one, and takes this one's place. Only why it did not comes back.
 fn become_council(what: &Council) -> String {
     let here = match std::env::current_exe() {
--- a/crates/agent/src/fleet/council.rs
+++ b/crates/agent/src/fleet/council.rs
@@ -30,7 +30,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, Notify};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::spawn_local;
 use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
 
 /// Connections at a time; later ones are closed at once.
@@ -85,9 +85,7 @@
 
 /// Runs a council process until SIGTERM, or until it must not go on: then in one plain line why.
 pub fn run(config: Council, folder: &Path, restore: Option<&Path>) -> Result<(), String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(config, folder, restore))
+    crate::on_one_thread(serve(config, folder, restore))?
 }
 
 /// Who the disk is, new or not, and a copy made its beginning if that is asked.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -69,9 +69,14 @@
 
 /// Runs the agent until it is told to stop.
 fn start(config: Config) -> Result<(), String> {
+    on_one_thread(run(config))?
+}
+
+/// Runs something to its end, with all that it spawns, on this thread.
+fn on_one_thread<T>(what: impl std::future::Future<Output = T>) -> Result<T, String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start the runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(config))
+    Ok(LocalSet::new().block_on(&runtime, what))
 }
 
 /// Listens so that another process of this agent may do so too, should it find no way to take over this socket.
--- a/crates/agent/tests/fleet/main.rs
+++ b/crates/agent/tests/fleet/main.rs
@@ -126,7 +126,7 @@
     let mut client = fleet.client();
     let first_agent = fleet.agent("n1", "east");
     let first = client.living("n1");
-    let second_agent = fleet.agent_beside("n1", "east");
+    let second_agent = fleet.agent("n1", "east");
     let second = wait("the second has the name", || {
         let both =
             [first_agent.lease(), second_agent.lease()].map(|lease| lease.is_some_and(|(held, _)| held));
--- a/crates/agent/tests/fleet/processes.rs
+++ b/crates/agent/tests/fleet/processes.rs
@@ -277,11 +277,6 @@
         self.alone(name, &part)
     }
 
-    /// Another process of that name.
-    pub fn agent_beside(&self, name: &str, site: &str) -> Process {
-        self.agent(name, site)
-    }
-
     /// An agent of this project's own file, started, with more in the file.
     pub fn alone(&self, name: &str, more: &str) -> Process {
         let (front, ops, server) = (free(), free(), free());
--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -4,6 +4,7 @@
 mod links;
 pub mod plan;
 mod rig;
+mod workload;
 pub mod world;
 
 use plan::Plan;
--- a/crates/lab/src/processes/rig.rs
+++ b/crates/lab/src/processes/rig.rs
@@ -4,6 +4,7 @@
 use super::judge::{Done, Op, Out, Seen, Watched};
 use super::links::{Does, Links};
 use super::plan::{Kind, Plan};
+use super::workload::Keys;
 use crate::world::Micros;
 use heronhoist_council::caller::{Caller, DEADLINE};
 use heronhoist_council::state::{Call, Check, Command, Reply, Standing, Txn, Write};
@@ -28,8 +29,6 @@
 const FLEET: &str = "lab";
 /// After the last fault everything comes right within this, or nothing does; far beyond what a sound program needs.
 const SETTLE: Duration = Duration::from_secs(90);
-/// Operations on one record, so that the checker's work stays small.
-const OPS_A_KEY: usize = 24;
 /// A client gives an operation up after this.
 const PATIENCE: Duration = Duration::from_secs(6);
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -117,7 +116,7 @@
     looks: Cell<usize>,
     faults: Cell<usize>,
     out: RefCell<BTreeMap<String, usize>>,
-    keys: RefCell<(Vec<(String, usize)>, usize)>,
+    keys: RefCell<Keys>,
     values: Cell<u64>,
     rng: RefCell<Pcg64Mcg>,
     wrappers: RefCell<Vec<u32>>,
@@ -502,37 +501,16 @@
 
     // Whoever reads, writes and watches.
 
-    fn key(&self) -> String {
-        let mut rng = self.rng.borrow_mut();
-        let mut keys = self.keys.borrow_mut();
-        while keys.0.len() < self.plan.clients.div_ceil(2).max(4) {
-            keys.1 += 1;
-            let name = format!("note/{:05}", keys.1);
-            keys.0.push((name, 0));
-        }
-        let place = rng.random_range(0..keys.0.len());
-        keys.0[place].1 += 1;
-        let key = keys.0[place].0.clone();
-        if keys.0[place].1 >= OPS_A_KEY {
-            keys.0.swap_remove(place);
-        }
-        key
-    }
-
     async fn client(self: Rc<Self>, number: usize) {
         let mut asker = Asker::new(&self, &format!("k{number}"));
         let mut seen: BTreeMap<String, (u64, u64)> = BTreeMap::new();
         while !self.healed.get() {
-            let key = self.key();
+            let key = self.keys.borrow_mut().draw(self.plan.clients, &mut *self.rng.borrow_mut());
             let roll: f64 = self.rng.borrow_mut().random();
             let new = self.values.get() + 1;
             self.values.set(new);
             let called = self.now();
-            let op = match roll {
-                r if r < 0.4 => Op::Read(None),
-                r if r < 0.75 => Op::Swap(seen.get(&key).map(|seen| seen.0), new, true),
-                _ => Op::Put(new),
-            };
+            let op = Op::draw(roll, seen.get(&key).map(|seen| seen.0), new);
             let mut checks = Vec::new();
             if let Op::Swap(..) = op {
                 let at = seen.get(&key).map(|(_, revision)| Check::At(key.clone(), *revision));
@@ -570,12 +548,7 @@
                         asker.session = None;
                     }
                     self.unknown.set(self.unknown.get() + 1);
-                    let unknown = match op {
-                        Op::Put(new) => Op::MaybePut(new),
-                        Op::Swap(old, new, _) => Op::MaybeSwap(old, new),
-                        other => other,
-                    };
-                    (unknown, None)
+                    (op.unknown(), None)
                 }
             };
             self.seen.borrow_mut().done.push(Done { key, op, called, returned });
--- a/crates/lab/src/processes/world.rs
+++ b/crates/lab/src/processes/world.rs
@@ -3,12 +3,12 @@
 
 use super::judge::{Belief, Done, Op, Out, Seen, Watched};
 use super::plan::{Kind, Listed, Plan, Planted};
+use super::workload::Keys;
 use crate::world::Micros;
 use heronhoist_council::caller::{Caller, DEADLINE};
 use heronhoist_council::desk::Desk;
 use heronhoist_council::formation::{beginning, Formation};
 use heronhoist_council::holder::{About, Holder, Stand};
-use heronhoist_council::lease::Terms;
 use heronhoist_council::log::{Disk, DiskFault, Image, Save};
 use heronhoist_council::node::{Node, Settings};
 use heronhoist_council::permit::{self, Denied};
@@ -31,8 +31,6 @@
 const SETTLE: Micros = 180_000_000;
 /// An agent looks whether a permit is out for itself so often.
 const LOOK: Micros = 1_000_000;
-/// Operations on one record, so that the checker's work stays small.
-const OPS_A_KEY: usize = 24;
 /// Messages that wait for a process that is stopped.
 const INBOX_MOST: usize = 10_000;
 
@@ -51,8 +49,6 @@
     pub leaderless: Vec<f64>,
     /// Messages between processes.
     pub messages: u64,
-    /// Bytes of messages between processes of the council.
-    pub raft_bytes: u64,
     /// Where that is measured: messages and bytes that the leader sent or was sent, in a second of the second half.
     pub at_leader: Option<(f64, f64)>,
     /// Permits that were given.
@@ -193,7 +189,7 @@
     /// It has the permit, and says that it begins.
     Starting(String),
     /// Its command has run: the agent is down. It says so then.
-    Finishing(String, Micros),
+    Finishing(String),
     /// It waits until the agent has given the permit back.
     Waiting(String),
 }
@@ -221,7 +217,6 @@
     /// Who takes new processes into the council.
     Warden {
         wanted: Vec<(u64, u64, Peer)>,
-        asked_at: Micros,
     },
 }
 
@@ -249,8 +244,7 @@
     links: BTreeMap<(usize, usize), Link>,
     numbers: BTreeMap<u64, usize>,
     callers: HashMap<u64, usize>,
-    keys: Vec<(String, usize)>,
-    keys_made: usize,
+    keys: Keys,
     values: u64,
     agreed: Vec<(Micros, u64)>,
     leader: Option<u64>,
@@ -281,7 +275,6 @@
             leaders: 0,
             leaderless: Vec::new(),
             messages: 0,
-            raft_bytes: 0,
             at_leader: None,
             permits: 0,
             faults: 0,
@@ -298,8 +291,7 @@
             links: BTreeMap::new(),
             numbers: BTreeMap::new(),
             callers: HashMap::new(),
-            keys: Vec::new(),
-            keys_made: 0,
+            keys: Keys::default(),
             values: 0,
             agreed: Vec::new(),
             leader: None,
@@ -328,7 +320,7 @@
         for at in 0..plan.council {
             world.start(at);
         }
-        world.add("warden", "", Role::Warden { wanted: Vec::new(), asked_at: 0 }, Life::Up);
+        world.add("warden", "", Role::Warden { wanted: Vec::new() }, Life::Up);
         for n in 0..plan.agents {
             let site = format!("site{}", n % plan.sites);
             world.add_agent(&format!("a{n}"), &site);
@@ -645,7 +637,6 @@
             }
         };
         for (number, message) in output.messages {
-            self.outcome.raft_bytes += message.len() as u64;
             if let Some(to) = self.numbers.get(&number).copied() {
                 self.send(at, to, Parcel::Raft(message));
             }
@@ -871,10 +862,9 @@
                     asks.push((0, request));
                 }
             }
-            Role::Warden { wanted, asked_at } => {
+            Role::Warden { wanted } => {
                 if can[0] {
                     if let Some((add, remove, peer)) = wanted.first() {
-                        *asked_at = now;
                         asks.push((
                             0,
                             Request::Replace { add: Some((*add, peer.clone())), remove: Some(*remove) },
@@ -914,25 +904,12 @@
         if self.healed {
             return None;
         }
-        while self.keys.len() < self.plan.clients.div_ceil(2).max(4) {
-            self.keys_made += 1;
-            self.keys.push((format!("note/{:05}", self.keys_made), 0));
-        }
-        let place = self.rng.random_range(0..self.keys.len());
-        let key = self.keys[place].0.clone();
-        self.keys[place].1 += 1;
-        if self.keys[place].1 >= OPS_A_KEY {
-            self.keys.swap_remove(place);
-        }
+        let key = self.keys.draw(self.plan.clients, &mut self.rng);
         let roll: f64 = self.rng.random();
         let Role::Client(client) = &mut self.processes[at].role else { return None };
         self.values += 1;
         let new = self.values;
-        let op = match roll {
-            r if r < 0.4 => Op::Read(None),
-            r if r < 0.75 => Op::Swap(client.seen.get(&key).map(|seen| seen.0), new, true),
-            _ => Op::Put(new),
-        };
+        let op = Op::draw(roll, client.seen.get(&key).map(|seen| seen.0), new);
         client.number += 1;
         client.now = Some((key, op, now));
         self.client_request(at)
@@ -1008,11 +985,7 @@
     fn client_ends(&mut self, at: usize, mut done: Done) {
         if done.returned.is_none() {
             self.outcome.unknown += 1;
-            done.op = match done.op {
-                Op::Put(new) => Op::MaybePut(new),
-                Op::Swap(old, new, _) => Op::MaybeSwap(old, new),
-                other => other,
-            };
+            done.op = done.op.unknown();
         } else {
             self.outcome.settled += 1;
         }
@@ -1117,15 +1090,14 @@
                     (Reply::Done(_), Doing::Starting(agent)) => {
                         // At the last moment before: is the lease still there?
                         if operator.holder.holds(local) == Some(operator.session) {
-                            let ends = now + pause;
-                            operator.doing = Doing::Finishing(agent.clone(), ends);
-                            operator.next_at = ends;
+                            operator.doing = Doing::Finishing(agent.clone());
+                            operator.next_at = now + pause;
                             self.take_out(&agent);
                         } else {
                             operator.doing = Doing::Idle;
                         }
                     }
-                    (Reply::Done(_), Doing::Finishing(agent, _)) => operator.doing = Doing::Waiting(agent),
+                    (Reply::Done(_), Doing::Finishing(agent)) => operator.doing = Doing::Waiting(agent),
                     // Not taken, or not known: a look at the budget tells.
                     _ => {}
                 }
@@ -1159,7 +1131,7 @@
             Doing::Idle => agent,
             Doing::Taking(agent)
             | Doing::Starting(agent)
-            | Doing::Finishing(agent, _)
+            | Doing::Finishing(agent)
             | Doing::Waiting(agent) => agent.clone(),
         };
         let site = view.members.get(&about).map(|member| member.site.clone());
@@ -1280,7 +1252,7 @@
         match &mut process.role {
             Role::Council { desk, disk, number } => {
                 let settings = Settings {
-                    terms: Terms { ..plan.terms },
+                    terms: plan.terms,
                     tick: plan.tick,
                     bounds: Bounds {
                         log_entries: plan.log_entries,
