End a council process whose disk was put back even if entries reach it first

Cause: the loss is seen at a heartbeat, whose commit is behind the disk's end; under load an append comes first, the process refuses it, the leader's library (maybe_decr_to, in a probe) takes that for a process that lags, and fills it up. A leader that is refused what was acknowledged to it now answers with a heartbeat of what it knows: late refusals are as harmless as before, and a disk that lost it ends.

The rig breaks disks: cut-disk, old-disk, and disks of different age, virtual and with processes.

--- a/check.sh
+++ b/check.sh
@@ -57,6 +57,8 @@
 # The same with processes of the program behind faulty links, for a few seconds.
 lab run scenarios/council-faults.toml --seeds 1 --real --set length_ms=6000
 lab run scenarios/council-permits.toml --seeds 1 --real --set length_ms=6000 --set agents.count=6
+lab run scenarios/council/cut-disk.toml --seeds 1 --real
+lab run scenarios/council/old-disk.toml --seeds 1 --real
 # What hunt has found stays mended.
 lab run scenarios/found/all-cold.toml --seeds 27387..27392
 lab run scenarios/found/cold-and-full.toml --seeds 1064
--- a/crates/council/src/node.rs
+++ b/crates/council/src/node.rs
@@ -180,6 +180,8 @@
     ending: BTreeSet<(String, u64)>,
     snapshots_sent: BTreeMap<u64, Time>,
     answers: Vec<(Ticket, Answer)>,
+    /// What others are told beside what the library says.
+    told: Vec<(u64, Vec<u8>)>,
     ticks: u64,
     now: Time,
 }
@@ -226,6 +228,7 @@
             ending: BTreeSet::new(),
             snapshots_sent: BTreeMap::new(),
             answers: Vec::new(),
+            told: Vec::new(),
             ticks: 0,
             now,
         };
@@ -366,12 +369,35 @@
                 return Err(Fault::OtherHistory(entry.index));
             }
         }
+        if kind == MessageType::MsgAppendResponse && self.has_lost_what_it_had(&message) {
+            return Ok(());
+        }
         // What the library does not take is as if it was lost.
         let _ = self.raw.step(message);
         self.draw_timeout();
         Ok(())
     }
 
+    /// A process refuses entries from behind what it has acknowledged to this leader: either its words are late, or its disk was
+    /// put back. The library would fill it up again and nobody would know. It is told instead what it had: one whose disk
+    /// has lost that ends, and to any other this is a heartbeat like each.
+    fn has_lost_what_it_had(&mut self, message: &Message) -> bool {
+        let raft = &self.raw.raft;
+        if !message.reject || message.term != raft.term || raft.state != StateRole::Leader {
+            return false;
+        }
+        let had = raft.prs().get(message.from).map_or(0, |progress| progress.matched);
+        if message.reject_hint >= had {
+            return false;
+        }
+        let mut heartbeat = Message::default();
+        heartbeat.set_msg_type(MessageType::MsgHeartbeat);
+        (heartbeat.from, heartbeat.to, heartbeat.term) = (raft.id, message.from, raft.term);
+        heartbeat.commit = had.min(raft.raft_log.committed);
+        self.told.push((message.from, bytes(&heartbeat)));
+        true
+    }
+
     fn propose(&mut self, ticket: Ticket, call: &Call) -> Result<(), raft::Error> {
         let context = [self.number(), self.life, ticket.0].map(u64::to_le_bytes).concat();
         let data = serde_json::to_vec(call).unwrap_or_default();
@@ -456,6 +482,7 @@
         self.see_who_leads();
         self.compact(disk)?;
         output.answers.append(&mut self.answers);
+        output.messages.append(&mut self.told);
         Ok(output)
     }
 
--- /dev/null
+++ b/crates/lab/src/processes/world/mod.rs
@@ -0,0 +1,757 @@
+//! Several processes in simulated time: the council's core and its members' core, as the program has them, on links and disks
+//! with faults. One seed is one run, the same each time.
+
+mod askers;
+mod clients;
+mod faults;
+mod operators;
+
+use super::judge::{Belief, Done, Op, Out, Seen, Watched};
+use super::plan::{Kind, Listed, Plan, Planted};
+use super::workload::Keys;
+use crate::world::Micros;
+use heronhoist_council::caller::{Caller, DEADLINE};
+use heronhoist_council::desk::Desk;
+use heronhoist_council::formation::{beginning, Formation};
+use heronhoist_council::holder::{About, Holder, Stand};
+use heronhoist_council::log::{Disk, DiskFault, Image, Save};
+use heronhoist_council::node::{Node, Settings};
+use heronhoist_council::permit::{self, Denied};
+use heronhoist_council::state::{Call, Change, Check, Command, Peer, Reply, Standing, Txn, Write};
+use heronhoist_council::wire::{Envelope, Refusal, Request, Response, View, PROTOCOL};
+use heronhoist_council::Bounds;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+const FLEET: &str = "lab";
+/// An agent that was started can serve after this.
+const BOOT: Micros = 200_000;
+/// A client gives an operation up after this.
+const PATIENCE: Micros = 4_000_000;
+/// After the last fault everything comes right within this, or nothing does.
+const SETTLE: Micros = 180_000_000;
+/// An agent looks whether a permit is out for itself so often.
+const LOOK: Micros = 1_000_000;
+/// Messages that wait for a process that is stopped.
+const INBOX_MOST: usize = 10_000;
+
+/// What a run came to.
+#[derive(Debug)]
+pub struct Outcome {
+    /// What was seen.
+    pub seen: Seen,
+    /// Operations with a known outcome, and without.
+    pub settled: usize,
+    /// Without.
+    pub unknown: usize,
+    /// How often another process came to lead.
+    pub leaders: usize,
+    /// For each time that a leader was lost: how long it took until another was known, in multiples of the election timeout.
+    pub leaderless: Vec<f64>,
+    /// Messages between processes.
+    pub messages: u64,
+    /// Where that is measured: messages and bytes that the leader sent or was sent, in a second of the second half.
+    pub at_leader: Option<(f64, f64)>,
+    /// Permits that were given.
+    pub permits: usize,
+    /// Faults that were begun.
+    pub faults: usize,
+    /// Processes that ended by themselves, since their disks were not what they had been.
+    pub ended: usize,
+    /// Tells runs apart.
+    pub digest: u64,
+}
+
+/// A disk that keeps what it says it keeps, unless it is planted not to.
+#[derive(Default)]
+struct MemoryDisk {
+    kept: Image,
+    /// What was acknowledged but is not kept yet.
+    pending: Vec<Save>,
+    lies: bool,
+    saves: u64,
+    /// A fault made it other than it was left: its process must end, at the start or once it hears from the others.
+    spoilt: bool,
+    /// As it was when the fault began that will put it back.
+    copy: Option<Image>,
+}
+
+impl Disk for MemoryDisk {
+    fn save(&mut self, save: &Save) -> Result<(), DiskFault> {
+        self.saves += 1;
+        self.pending.push(save.clone());
+        // One that lies gets round to it only now and then.
+        if !self.lies || self.saves % 64 == 0 {
+            self.pending.drain(..).for_each(|save| self.kept.take(&save));
+        }
+        Ok(())
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Life {
+    Up,
+    Stopped,
+    Down,
+}
+
+#[derive(Clone, Copy)]
+struct Clock {
+    offset: Micros,
+    rate: f64,
+}
+
+impl Clock {
+    fn local(self, at: Micros) -> Micros {
+        self.offset + (at as f64 * self.rate) as Micros
+    }
+
+    fn truth(self, local: Micros) -> Micros {
+        (local.saturating_sub(self.offset) as f64 / self.rate) as Micros
+    }
+}
+
+#[derive(Clone)]
+enum Parcel {
+    Raft(Vec<u8>),
+    Request(u64, usize, Envelope, Request),
+    Response(u64, Response),
+}
+
+impl Parcel {
+    /// Bytes of what is said, without the HTTP round it.
+    fn size(&self) -> u64 {
+        let json = |length: Result<Vec<u8>, _>| length.map_or(0, |bytes: Vec<u8>| bytes.len() as u64);
+        match self {
+            Parcel::Raft(bytes) => bytes.len() as u64,
+            Parcel::Request(_, _, envelope, request) => json(serde_json::to_vec(&(envelope, request))),
+            Parcel::Response(_, response) => json(serde_json::to_vec(response)),
+        }
+    }
+}
+
+enum Event {
+    Tick(usize, u32),
+    Deliver(usize, usize, Parcel),
+    Wake(usize, u32),
+    GivenUp(usize, u32, u64),
+    Chaos,
+    Fault(usize),
+    Heal(Heal),
+}
+
+enum Heal {
+    Wake(usize),
+    Start(usize),
+    /// It is killed, and its disk put back to the copy that was made of it; it is started.
+    PutBack(usize),
+    Undrop(Vec<(usize, usize)>),
+    Undelay(Vec<(usize, usize)>),
+    Release(Vec<(usize, usize)>),
+}
+
+#[derive(Default)]
+struct Link {
+    dropped: u32,
+    held: u32,
+    late: Micros,
+    queue: Vec<Parcel>,
+}
+
+/// One thing that a process has asked.
+struct Asker {
+    caller: Caller,
+    out: Option<(u64, Micros)>,
+    due: Micros,
+}
+
+struct Agent {
+    holder: Holder,
+    ready_at: Micros,
+    belief: Option<Belief>,
+    look_at: Micros,
+}
+
+struct Client {
+    session: Option<u64>,
+    number: u64,
+    /// The operation under way: its key, what, and when it was called.
+    now: Option<(String, Op, Micros)>,
+    /// What it last saw of each record: value and revision.
+    seen: BTreeMap<String, (u64, u64)>,
+    next_at: Micros,
+}
+
+struct Watcher {
+    history: u64,
+    reading: Option<bool>,
+    watched: Watched,
+    next_at: Micros,
+    sent: Micros,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Doing {
+    Idle,
+    /// It has asked for a permit for this agent.
+    Taking(String),
+    /// It has the permit, and says that it begins.
+    Starting(String),
+    /// Its command has run: the agent is down. It says so then.
+    Finishing(String),
+    /// It waits until the agent has given the permit back.
+    Waiting(String),
+}
+
+struct Operator {
+    holder: Holder,
+    belief: Option<Belief>,
+    doing: Doing,
+    session: u64,
+    number: u64,
+    asked: Option<Request>,
+    next_at: Micros,
+}
+
+enum Role {
+    Council {
+        desk: Option<Box<Desk>>,
+        disk: MemoryDisk,
+        number: u64,
+    },
+    Agent(Box<Agent>),
+    Client(Client),
+    Watcher(Watcher),
+    Operator(Box<Operator>),
+    /// Who takes new processes into the council.
+    Warden {
+        wanted: Vec<(u64, u64, Peer)>,
+    },
+}
+
+struct Process {
+    name: String,
+    site: String,
+    life: Life,
+    epoch: u32,
+    clock: Clock,
+    deferred: Vec<Event>,
+    askers: [Asker; 2],
+    wake_at: Micros,
+    role: Role,
+}
+
+/// The world of one run.
+pub struct World<'p> {
+    plan: &'p Plan,
+    rng: Pcg64Mcg,
+    now: Micros,
+    queue: BinaryHeap<Reverse<(Micros, u64)>>,
+    events: HashMap<u64, Event>,
+    next: u64,
+    processes: Vec<Process>,
+    links: BTreeMap<(usize, usize), Link>,
+    numbers: BTreeMap<u64, usize>,
+    callers: HashMap<u64, usize>,
+    keys: Keys,
+    values: u64,
+    agreed: Vec<(Micros, u64)>,
+    leader: Option<u64>,
+    leader_lost: Option<Micros>,
+    healed: bool,
+    replacing: bool,
+    /// A council process that nobody can reach; whether it believes that it leads is no matter.
+    isolated: Option<u64>,
+    counted: (u64, u64),
+    /// What is out by a permit, and where that stands.
+    out: BTreeMap<String, usize>,
+    outcome: Outcome,
+}
+
+/// Plays one seed.
+pub fn play(plan: &Plan, seed: u64) -> Outcome {
+    let mut world = World::new(plan, seed);
+    world.run();
+    world.outcome
+}
+
+impl<'p> World<'p> {
+    fn new(plan: &'p Plan, seed: u64) -> World<'p> {
+        let outcome = Outcome {
+            seen: Seen::default(),
+            settled: 0,
+            unknown: 0,
+            leaders: 0,
+            leaderless: Vec::new(),
+            messages: 0,
+            at_leader: None,
+            permits: 0,
+            faults: 0,
+            ended: 0,
+            digest: 0,
+        };
+        let mut world = World {
+            plan,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now: 0,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            next: 1,
+            processes: Vec::new(),
+            links: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            callers: HashMap::new(),
+            keys: Keys::default(),
+            values: 0,
+            agreed: Vec::new(),
+            leader: None,
+            leader_lost: Some(0),
+            healed: false,
+            replacing: false,
+            isolated: None,
+            counted: (0, 0),
+            out: BTreeMap::new(),
+            outcome,
+        };
+        let peers: BTreeMap<u64, Peer> = (0..plan.council)
+            .map(|n| {
+                (world.rng.random_range(1..u64::MAX), Peer { name: format!("c{n}"), address: String::new() })
+            })
+            .collect();
+        let image = beginning(&Formation { history: seed.max(1), peers: peers.clone() });
+        let mut peers: Vec<(u64, Peer)> = peers.into_iter().collect();
+        peers.sort_by(|a, b| a.1.name.cmp(&b.1.name));
+        for (number, peer) in peers {
+            let lies = plan.planted == Planted::AckBeforeSync;
+            let disk = MemoryDisk { kept: image.clone(), lies, ..MemoryDisk::default() };
+            let at = world.add(&peer.name, "", Role::Council { desk: None, disk, number }, Life::Down);
+            world.numbers.insert(number, at);
+        }
+        for at in 0..plan.council {
+            world.start(at);
+        }
+        world.add("warden", "", Role::Warden { wanted: Vec::new() }, Life::Up);
+        for n in 0..plan.agents {
+            let site = format!("site{}", n % plan.sites);
+            world.add_agent(&format!("a{n}"), &site);
+        }
+        for n in 0..plan.clients {
+            let client = Client { session: None, number: 0, now: None, seen: BTreeMap::new(), next_at: 0 };
+            world.add(&format!("k{n}"), "", Role::Client(client), Life::Up);
+        }
+        for n in 0..plan.watchers {
+            let watcher =
+                Watcher { history: 0, reading: None, watched: Watched::default(), next_at: 0, sent: 0 };
+            world.add(&format!("w{n}"), "", Role::Watcher(watcher), Life::Up);
+        }
+        for n in 0..plan.operators {
+            world.add_operator(&format!("o{n}"));
+        }
+        for (number, fault) in plan.listed.iter().enumerate() {
+            world.at(fault.at, Event::Fault(number));
+        }
+        if plan.every > 0 && !plan.faults.is_empty() {
+            world.at(plan.every, Event::Chaos);
+        }
+        world
+    }
+
+    fn about(name: &str, site: &str) -> About {
+        About { name: name.into(), site: site.into(), version: "lab".into(), address: String::new() }
+    }
+
+    fn add_agent(&mut self, name: &str, site: &str) -> usize {
+        let holder = Holder::new(Self::about(name, site), self.rng.random(), 0);
+        let ready_at = self.now + BOOT;
+        let agent = Agent { holder, ready_at, belief: None, look_at: 0 };
+        self.add(name, site, Role::Agent(Box::new(agent)), Life::Up)
+    }
+
+    fn add_operator(&mut self, name: &str) -> usize {
+        let nonce: u64 = self.rng.random();
+        let holder = Holder::new(Self::about(&format!("hold:{name}.{nonce:x}"), ""), nonce, 0);
+        let next_at = self.now + self.rng.random_range(0..2_000_000);
+        let operator = Operator {
+            holder,
+            belief: None,
+            doing: Doing::Idle,
+            session: 0,
+            number: 0,
+            asked: None,
+            next_at,
+        };
+        self.add(name, "", Role::Operator(Box::new(operator)), Life::Up)
+    }
+
+    fn add(&mut self, name: &str, site: &str, role: Role, life: Life) -> usize {
+        let drift = self.plan.terms.drift;
+        let rate = match self.rng.random_range(0..4) {
+            0 => 1.0 - drift,
+            1 => 1.0 + drift,
+            _ => 1.0 + drift * self.rng.random_range(-1.0..=1.0),
+        };
+        let clock = Clock { offset: self.rng.random_range(0..1_000_000_000_000), rate };
+        let council = self.plan.council;
+        let mut asker = || Asker { caller: Caller::new(council, self.rng.random()), out: None, due: 0 };
+        let askers = [asker(), asker()];
+        let process = Process {
+            name: name.into(),
+            site: site.into(),
+            life,
+            epoch: 0,
+            clock,
+            deferred: Vec::new(),
+            askers,
+            wake_at: Micros::MAX,
+            role,
+        };
+        self.processes.push(process);
+        let at = self.processes.len() - 1;
+        if life == Life::Up {
+            self.wake(at, self.now);
+        }
+        at
+    }
+
+    fn at(&mut self, when: Micros, event: Event) {
+        self.next += 1;
+        self.queue.push(Reverse((when.max(self.now), self.next)));
+        self.events.insert(self.next, event);
+    }
+
+    fn wake(&mut self, process: usize, when: Micros) {
+        let when = when.max(self.now);
+        let one = &mut self.processes[process];
+        if when < one.wake_at {
+            one.wake_at = when;
+            let epoch = one.epoch;
+            self.at(when, Event::Wake(process, epoch));
+        }
+    }
+
+    fn local(&self, process: usize) -> Micros {
+        self.processes[process].clock.local(self.now)
+    }
+
+    fn run(&mut self) {
+        let mut settled_at = None;
+        while let Some(Reverse((when, number))) = self.queue.pop() {
+            self.now = when;
+            let Some(event) = self.events.remove(&number) else { continue };
+            if !self.healed && self.now >= self.plan.length {
+                self.heal_all();
+            }
+            self.happen(event);
+            if !self.healed {
+                continue;
+            }
+            if settled_at.is_none() && self.is_settled() {
+                // Long enough for the last entries to reach everybody.
+                settled_at = Some(self.now);
+            }
+            if settled_at.is_some_and(|at| self.now > at + 3_000_000) {
+                break;
+            }
+            if self.now > self.plan.length + SETTLE {
+                let why = self.unsettled();
+                self.outcome.seen.wrongs.push(format!("nothing came right after the last fault: {why}"));
+                break;
+            }
+        }
+        self.finish();
+    }
+
+    fn unsettled(&self) -> String {
+        let late = self.processes.iter().filter(|process| !Self::is_right(process));
+        let about = |process: &Process| match &process.role {
+            Role::Operator(operator) => {
+                format!("{} ({:?}, {:?})", process.name, operator.holder.stand(), operator.doing)
+            }
+            Role::Agent(agent) => format!("{} ({:?})", process.name, agent.holder.stand()),
+            _ => process.name.clone(),
+        };
+        let names: Vec<String> = late.map(about).collect();
+        let behind = self.laggards().join(" ");
+        format!("leader {:?}, {}, behind: {behind}", self.leader.is_some(), names.join(" "))
+    }
+
+    fn is_right(process: &Process) -> bool {
+        match &process.role {
+            Role::Council { .. } | Role::Watcher(_) => true,
+            Role::Agent(agent) => {
+                process.life == Life::Down || matches!(agent.holder.stand(), Stand::Member | Stand::Displaced)
+            }
+            Role::Client(client) => client.now.is_none(),
+            Role::Operator(operator) => process.life == Life::Down || operator.doing == Doing::Idle,
+            Role::Warden { wanted, .. } => wanted.is_empty(),
+        }
+    }
+
+    fn is_settled(&self) -> bool {
+        self.leader.is_some() && self.processes.iter().all(Self::is_right) && self.laggards().is_empty()
+    }
+
+    /// Processes of the council that are behind the others.
+    fn laggards(&self) -> Vec<&str> {
+        let revision = |process: &Process| match &process.role {
+            Role::Council { desk: Some(desk), .. } => Some(desk.node().state().revision),
+            _ => None,
+        };
+        let newest = self.processes.iter().filter_map(revision).max();
+        let council = self.processes.iter().filter(|process| matches!(process.role, Role::Council { .. }));
+        council.filter(|process| revision(process) != newest).map(|process| process.name.as_str()).collect()
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Tick(at, epoch) => {
+                if self.processes[at].epoch != epoch {
+                    return;
+                }
+                match self.processes[at].life {
+                    Life::Down => return,
+                    Life::Stopped => {
+                        self.processes[at].deferred.push(Event::Tick(at, epoch));
+                        return;
+                    }
+                    Life::Up => {}
+                }
+                let local = self.local(at);
+                if let Role::Council { desk: Some(desk), .. } = &mut self.processes[at].role {
+                    desk.tick(local);
+                }
+                self.work(at);
+                let rate = self.processes[at].clock.rate;
+                self.at(self.now + (self.plan.tick as f64 / rate) as Micros, Event::Tick(at, epoch));
+            }
+            Event::Deliver(from, to, parcel) => self.deliver(from, to, parcel),
+            Event::Wake(at, epoch) => {
+                let process = &mut self.processes[at];
+                if process.epoch != epoch || process.wake_at > self.now {
+                    return;
+                }
+                process.wake_at = Micros::MAX;
+                match process.life {
+                    Life::Down => {}
+                    Life::Stopped => {
+                        process.wake_at = self.now;
+                        process.deferred.push(Event::Wake(at, epoch));
+                    }
+                    Life::Up => self.poll(at),
+                }
+            }
+            Event::GivenUp(at, epoch, id) => {
+                let process = &mut self.processes[at];
+                if process.epoch != epoch {
+                    return;
+                }
+                match process.life {
+                    Life::Down => {}
+                    Life::Stopped => process.deferred.push(Event::GivenUp(at, epoch, id)),
+                    Life::Up => self.answered(at, id, None),
+                }
+            }
+            Event::Chaos => {
+                if self.healed {
+                    return;
+                }
+                let kind = *self.plan.faults.choose(&mut self.rng).unwrap_or(&Kind::Cut);
+                let length = self.rng.random_range(self.plan.tick..=self.plan.most);
+                self.begin(&Listed { at: self.now, what: kind, who: None, to: None, length });
+                let pause = self.rng.random_range(self.plan.every / 4..=self.plan.every * 7 / 4);
+                self.at(self.now + pause.max(1000), Event::Chaos);
+            }
+            Event::Fault(number) => {
+                if !self.healed {
+                    let fault = self.plan.listed[number].clone();
+                    self.begin(&fault);
+                }
+            }
+            Event::Heal(heal) => self.heal(heal),
+        }
+    }
+
+    // Links.
+
+    fn send(&mut self, from: usize, to: usize, parcel: Parcel) {
+        self.outcome.messages += 1;
+        if self.plan.measured && self.now > self.plan.length / 2 && self.now <= self.plan.length {
+            let leader = self.leader.and_then(|number| self.numbers.get(&number).copied());
+            if leader.is_some_and(|leader| leader == from || leader == to) {
+                self.counted.0 += 1;
+                self.counted.1 += parcel.size();
+            }
+        }
+        let spread = if self.plan.spread == 0 { 0 } else { self.rng.random_range(0..=self.plan.spread) };
+        let link = self.links.entry((from, to)).or_default();
+        if link.dropped > 0 {
+            return;
+        }
+        if link.held > 0 {
+            link.queue.push(parcel);
+            return;
+        }
+        let late = if link.late == 0 { 0 } else { self.rng.random_range(link.late / 2..=link.late) };
+        self.at(self.now + self.plan.one_way + spread + late, Event::Deliver(from, to, parcel));
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, parcel: Parcel) {
+        match self.processes[to].life {
+            Life::Down => return,
+            Life::Stopped => {
+                let deferred = &mut self.processes[to].deferred;
+                if deferred.len() < INBOX_MOST {
+                    deferred.push(Event::Deliver(from, to, parcel));
+                }
+                return;
+            }
+            Life::Up => {}
+        }
+        let local = self.local(to);
+        let planted = self.plan.planted;
+        match parcel {
+            Parcel::Raft(bytes) => {
+                let Role::Council { desk: Some(desk), .. } = &mut self.processes[to].role else { return };
+                if let Err(fault) = desk.receive(local, &bytes) {
+                    self.ends(to, &fault.to_string());
+                    return;
+                }
+                self.work(to);
+            }
+            Parcel::Request(id, asker, envelope, mut request) => {
+                let Role::Council { desk: Some(desk), .. } = &mut self.processes[to].role else { return };
+                match &mut request {
+                    Request::Read { stale, .. } if planted == Planted::StaleRead => *stale = true,
+                    Request::Command(call) if planted == Planted::AppliedTwice => call.session = None,
+                    _ => {}
+                }
+                self.callers.insert(id, asker);
+                desk.request(local, id, &envelope, request);
+                self.work(to);
+            }
+            Parcel::Response(id, response) => self.answered(to, id, Some(response)),
+        }
+    }
+
+    /// A council process carries on with what has come in.
+    fn work(&mut self, at: usize) {
+        let local = self.local(at);
+        let Role::Council { desk: Some(desk), disk, .. } = &mut self.processes[at].role else { return };
+        let output = match desk.work(disk, local) {
+            Ok(output) => output,
+            Err(fault) => {
+                self.ends(at, &fault.to_string());
+                return;
+            }
+        };
+        for (number, message) in output.messages {
+            if let Some(to) = self.numbers.get(&number).copied() {
+                self.send(at, to, Parcel::Raft(message));
+            }
+        }
+        for (id, response) in output.responses {
+            if let Some(to) = self.callers.remove(&id) {
+                self.send(at, to, Parcel::Response(id, response));
+            }
+        }
+        self.look_at(at);
+    }
+
+    /// What can be seen of a council process after each step: new changes, ended leases, who leads.
+    fn look_at(&mut self, at: usize) {
+        let Role::Council { desk: Some(desk), .. } = &self.processes[at].role else { return };
+        let state = desk.node().state();
+        let known = self.agreed.last().map_or(0, |(_, revision)| *revision);
+        if state.history != 0 && state.revision > known {
+            if let Ok((changes, _)) = state.changes_after(known, usize::MAX) {
+                self.agreed.push((self.now, state.revision));
+                for change in &changes {
+                    self.note_end(change);
+                }
+                self.outcome.seen.changes.extend(changes);
+            } else if self.plan.planted != Planted::AckBeforeSync {
+                self.outcome.seen.wrongs.push("changes were compacted before they were seen".into());
+            }
+        }
+        let Role::Council { desk: Some(desk), number: own, .. } = &self.processes[at].role else { return };
+        if desk.node().leads() && self.leader != Some(*own) && self.isolated != Some(*own) {
+            self.leader = Some(*own);
+            self.outcome.leaders += 1;
+            if let Some(lost) = self.leader_lost.take().filter(|lost| *lost > 0) {
+                let timeout = self.plan.tick * Settings::default().election_ticks as Micros;
+                self.outcome.leaderless.push((self.now - lost) as f64 / timeout as f64);
+            }
+        }
+    }
+
+    fn note_end(&mut self, change: &Change) {
+        let heronhoist_council::state::Changed::Member(name, Some(member)) = &change.what else { return };
+        if !member.standing.may_hold() {
+            self.outcome.seen.ended.entry((name.clone(), member.incarnation)).or_insert(self.now);
+        }
+    }
+
+    // The end.
+
+    fn finish(&mut self) {
+        let mut states: BTreeMap<u64, (String, heronhoist_council::state::State)> = BTreeMap::new();
+        for at in 0..self.processes.len() {
+            let belief = match &mut self.processes[at].role {
+                Role::Agent(agent) => agent.belief.take(),
+                Role::Operator(operator) => operator.belief.take(),
+                Role::Watcher(watcher) => {
+                    let watched = std::mem::take(&mut watcher.watched);
+                    self.outcome.seen.watched.push(watched);
+                    None
+                }
+                Role::Council { desk: Some(desk), disk, .. } => {
+                    let (state, spoilt) = (desk.node().state().clone(), disk.spoilt);
+                    let name = self.processes[at].name.clone();
+                    if spoilt {
+                        let wrong = format!("{name} goes on with a disk that is not what it left there");
+                        self.outcome.seen.wrongs.push(wrong);
+                    }
+                    match states.get(&state.revision) {
+                        Some((other, known)) if *known != state => {
+                            let wrong = format!("{other} and {name} differ at revision {}", state.revision);
+                            self.outcome.seen.wrongs.push(wrong);
+                        }
+                        _ => drop(states.insert(state.revision, (name, state))),
+                    }
+                    None
+                }
+                _ => None,
+            };
+            self.keep_belief(belief);
+        }
+        // What is there at the end, read as one more operation on each record.
+        let last = states.into_iter().next_back();
+        if let Some((_, (_, state))) = last.filter(|_| self.leader.is_some()) {
+            let mut keys: Vec<String> = self.outcome.seen.done.iter().map(|done| done.key.clone()).collect();
+            keys.sort();
+            keys.dedup();
+            for key in keys {
+                let value = state.records.get(&key).and_then(|record| record.value.parse().ok());
+                let (called, returned) = (self.now, Some(self.now + 1));
+                self.outcome.seen.done.push(Done { key, op: Op::Read(value), called, returned });
+            }
+            let living = state.members.values().filter(|member| member.standing == Standing::Living).count();
+            if living < self.plan.agents.min(1) {
+                self.outcome.seen.wrongs.push("no member is living at the end".into());
+            }
+        }
+        if self.plan.measured {
+            let seconds = self.plan.length as f64 / 2e6;
+            let (messages, bytes) = self.counted;
+            self.outcome.at_leader = Some((messages as f64 / seconds, bytes as f64 / seconds));
+        }
+        let mut hasher = DefaultHasher::new();
+        format!("{:?}", (&self.outcome.seen.done, &self.outcome.seen.beliefs, self.outcome.messages))
+            .hash(&mut hasher);
+        self.outcome.digest = hasher.finish();
+    }
+}
