Budgets that count whatever is out, and drains of record servers that all agents keep

Need: tools that drain servers or take agents out act alone; a crash beside one of them is counted by nobody. Change: crates/release (rules, counts, drains, barriers; no I/O), checked by a new condition of the council (nothing that was counted has changed since), a second word beside a pool's list in the engine, `heronhoist drain`, `undrain`, `fleet budgets`; `hold` takes its permit under the same rules. Off without [fleet]: no task, no copy of a list.

--- a/crates/agent/src/cli.rs
+++ b/crates/agent/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::config::{Config, Unusable};
-use crate::fleet::{hold, tools};
+use crate::fleet::{drain, hold, tools};
 use crate::log;
 use crate::plan::{Members, Plan, PoolPlan};
 use crate::translate;
@@ -69,6 +69,16 @@
         tool: tools::Tool,
     },
     Hold(hold::Hold),
+    /// Take record servers out of all agents together.
+    Drain {
+        #[command(subcommand)]
+        tool: drain::DrainTool,
+    },
+    /// Let agents send to record servers again.
+    Undrain {
+        #[command(subcommand)]
+        tool: drain::UndrainTool,
+    },
     /// Write a completion script for a shell to standard output.
     Completions {
         /// The shell.
@@ -106,6 +116,8 @@
             Ok(code) => ExitCode::from(code),
             Err(fault) => fail(&fault, 1),
         },
+        Some(Command::Drain { tool }) => shown(crate::on_one_thread(drain::run(tool))),
+        Some(Command::Undrain { tool }) => shown(crate::on_one_thread(drain::undo(tool))),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Arguments::command(), "heronhoist", &mut io::stdout());
             ExitCode::SUCCESS
@@ -113,6 +125,15 @@
     }
 }
 
+/// What came of an operator's command.
+fn shown(done: Result<Result<String, (u8, String)>, String>) -> ExitCode {
+    match done {
+        Ok(Ok(text)) => print(&text),
+        Ok(Err((code, why))) => fail(&why, code),
+        Err(why) => fail(&why, 1),
+    }
+}
+
 /// The program of a council process stands beside this one, and takes this one's place. Only why it did not comes back.
 fn become_council(what: &Council) -> String {
     let here = match std::env::current_exe() {
--- /dev/null
+++ b/crates/agent/src/fleet/drain.rs
@@ -0,0 +1,333 @@
+//! `heronhoist drain`, `heronhoist undrain` and `heronhoist fleet budgets`: record servers taken out by all agents together, and how
+//! much may be out.
+
+use super::tools::{Client, Where};
+use clap::Subcommand;
+use heronhoist_config::reader::{tables, text, whole, Absent, Reader, Section};
+use heronhoist_config::Fault;
+use heronhoist_council::wire::View;
+use heronhoist_release::budget::{self, By, Count, Group, Most, Rule, Rules, Senseless, Server, Sort};
+use heronhoist_release::drain::{self, Barrier, Drain};
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::sleep;
+use toml::de::DeValue;
+
+/// How often a barrier is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(300);
+/// Exit codes: it is not allowed, or there is nothing to end; the council gave no answer.
+const DENIED: u8 = 3;
+const NO_COUNCIL: u8 = 5;
+
+/// Take a record server out of all agents together.
+///
+/// Exit codes: 0 it is done; 1 a record can't be read; 3 the budgets don't allow it, or the server drains already; 5 the council
+/// did not answer.
+#[derive(Subcommand)]
+pub enum DrainTool {
+    /// Enter a drain: agents send nothing new to the server and finish what they have.
+    Server {
+        /// Its name, as agents know it.
+        name: String,
+        /// Why; others see it.
+        #[arg(long)]
+        why: String,
+        /// Come back once the server may stop; Ctrl-C leaves the drain as it is.
+        #[arg(long)]
+        wait: bool,
+        /// Go on whatever the budgets say. You answer for it.
+        #[arg(long)]
+        over_budget: bool,
+        #[command(flatten)]
+        at: Where,
+    },
+    /// Show what drains, who is waited for, and how much is out.
+    Status {
+        /// Go on showing.
+        #[arg(long)]
+        watch: bool,
+        /// As JSON.
+        #[arg(long, conflicts_with = "watch")]
+        json: bool,
+        #[command(flatten)]
+        at: Where,
+    },
+}
+
+/// Take a drain back: agents send to the server again, as to one that is cold.
+#[derive(Subcommand)]
+pub enum UndrainTool {
+    /// A record server's.
+    Server {
+        /// Its name.
+        name: String,
+        #[command(flatten)]
+        at: Where,
+    },
+}
+
+type Failed = (u8, String);
+
+fn no_council(why: String) -> Failed {
+    (NO_COUNCIL, why)
+}
+
+fn denied(why: drain::Denied) -> Failed {
+    let unreadable = matches!(why, drain::Denied::Unreadable(_));
+    (if unreadable { 1 } else { DENIED }, why.to_string())
+}
+
+fn unreadable(why: impl ToString) -> Failed {
+    (1, why.to_string())
+}
+
+/// Does what was asked; what there is to say about it, or an exit code and why.
+pub async fn run(tool: DrainTool) -> Result<String, Failed> {
+    match tool {
+        DrainTool::Server { name, why, wait, over_budget, at } => {
+            let mut client = Client::new(&at, "operator").map_err(|why| (2, why))?;
+            let number = fastrand::u64(1..);
+            let by = std::env::var("USER").unwrap_or_else(|_| "operator".into());
+            let new = Drain { number, by, why };
+            let entered = client
+                .change("", |view| drain::enter(view, &name, new.clone(), over_budget))
+                .await
+                .map_err(no_council)?;
+            entered.map_err(denied)?;
+            if !wait {
+                return Ok(format!("{name} drains; `heronhoist drain status` shows when it may stop\n"));
+            }
+            wait_for(&mut client, &name, number).await
+        }
+        DrainTool::Status { watch, json, at } => {
+            let mut client = Client::new(&at, "operator").map_err(|why| (2, why))?;
+            loop {
+                let view = client.read("").await.map_err(no_council)?;
+                let page = if json { as_json(&view) } else { page(&view) }.map_err(unreadable)?;
+                if !watch {
+                    return Ok(page);
+                }
+                let mut out = std::io::stdout();
+                if write!(out, "\u{1b}[2J\u{1b}[H{page}").and_then(|()| out.flush()).is_err() {
+                    return Ok(String::new());
+                }
+                sleep(Duration::from_secs(1)).await;
+            }
+        }
+    }
+}
+
+/// Comes back once the server may stop.
+async fn wait_for(client: &mut Client, name: &str, number: u64) -> Result<String, Failed> {
+    let mut told = String::new();
+    loop {
+        // A council that is silent for a while opens nothing: it is asked on.
+        let Ok(view) = client.read("").await else { continue };
+        let barrier = drain::barrier(&view, name).map_err(unreadable)?;
+        let Some(barrier) = barrier.filter(|barrier| barrier.drain.number == number) else {
+            return Err((DENIED, format!("the drain of {name} was taken back by another")));
+        };
+        if barrier.is_open() {
+            return Ok(opened(name, &barrier));
+        }
+        let waits = format!("{name} may not stop yet: waits for {}", barrier.waits_for.join(", "));
+        if waits != told {
+            let _ = writeln!(std::io::stderr(), "heronhoist drain: {waits}");
+            told = waits;
+        }
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+fn opened(name: &str, barrier: &Barrier) -> String {
+    let mut text = format!("{name} may stop: {} agents send it nothing\n", barrier.quiet.len());
+    if !barrier.not_known.is_empty() {
+        let _ = writeln!(
+            text,
+            "not confirmed, since their leases have ended: {}; if they run cut off, they may still send to it",
+            barrier.not_known.join(", ")
+        );
+    }
+    text
+}
+
+/// Takes a drain back.
+pub async fn undo(UndrainTool::Server { name, at }: UndrainTool) -> Result<String, Failed> {
+    let mut client = Client::new(&at, "operator").map_err(|why| (2, why))?;
+    let ended = client.change(drain::PREFIX, |view| drain::end(view, &name)).await.map_err(no_council)?;
+    ended.map_err(denied)?;
+    Ok(format!("{name} drains no more; agents send to it as to a cold server\n"))
+}
+
+fn page(view: &View) -> Result<String, heronhoist_release::Unreadable> {
+    let mut page = String::new();
+    let drains = drain::all(view)?;
+    if drains.is_empty() {
+        page += "nothing drains\n";
+    }
+    for name in drains.keys() {
+        let Some(barrier) = drain::barrier(view, name)? else { continue };
+        let state = if barrier.is_open() { "may stop" } else { "drains" };
+        let Drain { by, why, .. } = &barrier.drain;
+        let _ = writeln!(page, "{name:<16} {state:<9} {} quiet, for {by}: {why}", barrier.quiet.len());
+        for (what, who) in [("waits for", &barrier.waits_for), ("not confirmed", &barrier.not_known)] {
+            if !who.is_empty() {
+                let _ = writeln!(page, "  {what}: {}", who.join(", "));
+            }
+        }
+    }
+    match Count::new(view) {
+        Ok(count) => page += &groups(&count.groups()),
+        Err(why) => drop(writeln!(page, "\n{why}")),
+    }
+    Ok(page)
+}
+
+fn groups(groups: &[Group]) -> String {
+    let mut page = format!("\n{:<28} {:>5} {:>9} {:>6}  who\n", "budget", "all", "may be", "out");
+    for Group { name, all, most, out, who } in groups {
+        let over = if *out > f64::from(*most) { "  OVERDRAWN" } else { "" };
+        let _ = writeln!(page, "{name:<28} {all:>5} {most:>9} {out:>6.2}  {}{over}", who.join(", "));
+    }
+    page
+}
+
+fn as_json(view: &View) -> Result<String, heronhoist_release::Unreadable> {
+    let mut drains = serde_json::Map::new();
+    for name in drain::all(view)?.keys() {
+        if let Some(barrier) = drain::barrier(view, name)? {
+            let is = serde_json::json!({
+                "drain": barrier.drain, "open": barrier.is_open(), "waits_for": barrier.waits_for,
+                "quiet": barrier.quiet, "not_known": barrier.not_known,
+            });
+            drains.insert(name.clone(), is);
+        }
+    }
+    let groups = Count::new(view).map(|count| count.groups()).unwrap_or_default();
+    let group = |g: &Group| serde_json::json!({ "group": g.name, "all": g.all, "most": g.most, "out": g.out, "who": g.who });
+    let groups: Vec<_> = groups.iter().map(group).collect();
+    Ok(format!("{}\n", serde_json::json!({ "revision": view.revision, "drains": drains, "budgets": groups })))
+}
+
+/// States budgets from a file, or shows what is out against those that are stated.
+pub async fn budgets(file: Option<&Path>, at: &Where) -> Result<String, String> {
+    let mut client = Client::new(at, "operator")?;
+    let Some(path) = file else {
+        let count = Count::new(&client.read("").await?).map_err(|why| why.to_string())?;
+        return Ok(groups(&count.groups()));
+    };
+    let content =
+        std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+    let rules = parse(&content).map_err(|faults| {
+        let faults: Vec<String> = faults.iter().map(|fault| format!("{}:{fault}", path.display())).collect();
+        faults.join("\n")
+    })?;
+    let stated = client.change(budget::KEY, |view| rules.state(view)).await?;
+    stated.map_err(|why| why.to_string())?;
+    let count = Count::new(&client.read("").await?).map_err(|why| why.to_string())?;
+    Ok(groups(&count.groups()))
+}
+
+const SORTS: [(&str, Sort); 2] = [("agents", Sort::Agents), ("servers", Sort::Servers)];
+const BYS: [(&str, By); 4] = [("all", By::All), ("site", By::Site), ("kind", By::Kind), ("cell", By::Cell)];
+
+fn one_of<T: Copy>(words: &'static [(&'static str, T)]) -> impl Fn(&DeValue<'_>) -> Option<T> {
+    move |value| {
+        let word = text(value)?;
+        words.iter().find(|(name, _)| *name == word).map(|(_, meaning)| *meaning)
+    }
+}
+
+fn most(value: &DeValue<'_>) -> Option<Most> {
+    if let Some(number) = whole(value) {
+        return u32::try_from(number).ok().map(Most::Number);
+    }
+    let share: f64 = text(value)?.strip_suffix('%')?.trim().parse().ok()?;
+    (0.0..=100.0).contains(&share).then_some(Most::Share(share / 100.0))
+}
+
+/// Reads the file of the budgets. Every fault is told with its place.
+fn parse(content: &str) -> Result<Rules, Vec<Fault>> {
+    let table = tables(content)?;
+    let (mut reader, mut root) = Reader::new(content, &table, &|_| None);
+    let mut rules = Rules::default();
+    let mut sections: Vec<Section<'_>> = Vec::new();
+    for mut section in reader.sections(&mut root, "budget") {
+        let of = reader.get(&mut section, "of", Absent::Fault, "agents or servers", one_of(&SORTS));
+        let by = reader.get(&mut section, "by", Absent::Fault, "all, site, kind or cell", one_of(&BYS));
+        let only = reader.get(&mut section, "only", Absent::Nothing, "a site, kind or cell", text);
+        let wanted = "a number as 2, or a share as \"25%\"";
+        let most = reader.get(&mut section, "most", Absent::Fault, wanted, most);
+        // Each keeps its place, so that what is said of it later finds its line.
+        let (of, by, most) =
+            (of.unwrap_or(Sort::Servers), by.unwrap_or(By::All), most.unwrap_or(Most::Number(0)));
+        rules.rules.push(Rule { of, by, only, most });
+        sections.push(section);
+    }
+    for mut section in reader.sections(&mut root, "server") {
+        let name = reader.get(&mut section, "name", Absent::Fault, "a server's name", text);
+        let mut place = |key| reader.get(&mut section, key, Absent::Default(String::new()), "a name", text);
+        let [site, kind, cell] = ["site", "kind", "cell"].map(&mut place).map(Option::unwrap_or_default);
+        if let Some(name) = name {
+            if rules.servers.contains_key(&name) {
+                reader.fault(&section, "name", "found a second time; wanted a name of its own".into());
+            }
+            rules.servers.insert(name, Server { site, kind, cell });
+        }
+        reader.end(section);
+    }
+    reader.end(root);
+    // What the rules mean is looked at once each of them can be read.
+    let senseless = if reader.faults.is_empty() { rules.check() } else { Vec::new() };
+    for fault in senseless {
+        let (at, key) = match &fault {
+            Senseless::TooMany => (budget::RULES_MOST, "of"),
+            Senseless::Agents(at) => (*at, "by"),
+            Senseless::Only(at) | Senseless::Nowhere(at, _) => (*at, "only"),
+            Senseless::Share(at) | Senseless::Contradiction(_, at) | Senseless::Nothing(at, _) => {
+                (*at, "most")
+            }
+        };
+        if let Some(section) = sections.get(at) {
+            reader.fault(section, key, fault.to_string());
+        }
+    }
+    sections.into_iter().for_each(|section| reader.end(section));
+    let mut faults = std::mem::take(&mut reader.faults);
+    faults.sort_by_key(|fault| (fault.line, fault.column));
+    if faults.is_empty() {
+        Ok(rules)
+    } else {
+        Err(faults)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SOUND: &str = "[[budget]]\nof = \"servers\"\nby = \"site\"\nmost = 1\n[[budget]]\nof = \"agents\"\nby = \"all\"\nmost = \"25%\"\n\
+                         [[server]]\nname = \"s1\"\nsite = \"east\"\n[[server]]\nname = \"s2\"\nsite = \"west\"\nkind = \"m\"\ncell = \"4\"\n";
+
+    #[test]
+    fn budgets_are_read_and_every_fault_has_its_place() {
+        assert_eq!(
+            parse(include_str!("../../../../deploy/budgets.toml")).expect("the example").servers.len(),
+            3
+        );
+        let rules = parse(SOUND).expect("sound");
+        assert_eq!((rules.rules.len(), rules.servers["s2"].cell.as_str()), (2, "4"));
+        assert_eq!(rules.rules[1].most, Most::Share(0.25));
+        let faulty = SOUND.replace("most = 1", "most = \"many\"").replace("by = \"all\"", "by = \"cell\"");
+        let lines =
+            |text: &str| parse(text).expect_err("faults").iter().map(ToString::to_string).collect::<Vec<_>>();
+        let told = lines(&faulty);
+        assert!(told.len() == 1 && told[0].starts_with("4:8: budget[0].most"), "{told:?}");
+        let told = lines(&SOUND.replace("by = \"all\"", "by = \"cell\"").replace("\"s2\"", "\"s1\""));
+        assert!(told.len() == 1 && told[0].starts_with("13:8: server[1].name"), "{told:?}");
+        let told = lines(&SOUND.replace("by = \"all\"", "by = \"cell\""));
+        assert!(told.len() == 1 && told[0].starts_with("7:6: budget[1].by"), "{told:?}");
+    }
+}
--- a/crates/agent/src/fleet/hold.rs
+++ b/crates/agent/src/fleet/hold.rs
@@ -7,6 +7,7 @@
 use heronhoist_council::permit::{self, Denied};
 use heronhoist_council::wire::View;
 use heronhoist_council::Time;
+use heronhoist_release::budget;
 use std::cell::RefCell;
 use std::io::Write;
 use std::rc::Rc;
@@ -139,20 +140,23 @@
     council.session = Some((incarnation, 0));
     let me = (name.as_str(), incarnation);
 
-    let view = council.read("budget/").await.map_err(no_council)?;
+    let view = council.read("").await.map_err(no_council)?;
     let site = view.members.get(&agent).map(|member| member.site.clone());
     let site = site.ok_or((NOT_GIVEN, format!("the fleet has no agent {agent}")))?;
     let key = permit::agents_of(&site);
     let mut told = String::new();
     loop {
-        let take = |view: &View| permit::take(view, &key, &agent, me, &hold.why);
-        match council.change("budget/", take).await.map_err(no_council)? {
+        let take = |view: &View| budget::take_agent(view, &key, &agent, me, &hold.why);
+        match council.change("", take).await.map_err(no_council)? {
             Ok(()) => break,
-            Err(Denied::NoBudget(_)) => {
+            Err(budget::Denied::Permits(Denied::NoBudget(_))) => {
                 let why = format!("nobody has stated how many agents of {site} may be out; `heronhoist fleet permits --site {site} --most N` does");
                 return Err((NOT_GIVEN, why));
             }
-            Err(denied @ (Denied::AllOut { .. } | Denied::OutAlready { .. })) if hold.wait => {
+            Err(
+                denied @ (budget::Denied::Spent { .. }
+                | budget::Denied::Permits(Denied::AllOut { .. } | Denied::OutAlready { .. })),
+            ) if hold.wait => {
                 let why = denied.to_string();
                 if why != told {
                     say(&format!("waits: {why}"));
--- a/crates/agent/src/fleet/member.rs
+++ b/crates/agent/src/fleet/member.rs
@@ -7,14 +7,17 @@
 use heronhoist_council::desk::WATCH_WAIT;
 use heronhoist_council::holder::{About, Holder, Stand};
 use heronhoist_council::permit;
-use heronhoist_council::state::{Call, Command};
+use heronhoist_council::state::{Call, Command, Reply};
 use heronhoist_council::wire::{Envelope, Request, Response, PROTOCOL};
 use heronhoist_council::Time;
+use heronhoist_release::drain::{self, Listener};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, Instant};
 
@@ -24,9 +27,19 @@
 const LEAVE_WAIT: Duration = Duration::from_millis(500);
 /// How often the agent looks at a permit that is out for itself.
 const OUT_LOOK: Duration = Duration::from_millis(500);
+/// How often it is looked whether the agent has become quiet for a server that drains.
+const QUIET_LOOK: Duration = Duration::from_millis(50);
 /// Pause before permits are looked at again after something went wrong.
 const PERMIT_PAUSE: Duration = Duration::from_secs(2);
 
+/// What the agent does with drains that the fleet has agreed.
+pub struct Drains {
+    /// The servers that drain, by name, are told here.
+    pub drained: watch::Sender<BTreeSet<String>>,
+    /// Whether nothing is out to a server, and nothing will be sent to it while it drains.
+    pub is_quiet: Box<dyn Fn(&str) -> bool>,
+}
+
 /// The agent's part in its fleet.
 pub struct Member {
     fleet: Fleet,
@@ -35,12 +48,19 @@
     answered: Cell<Instant>,
     renewals: Cell<u64>,
     failures: Cell<u64>,
+    /// The servers that the fleet has agreed to drain, as far as this agent has heard, and how many of them it said it keeps.
+    draining: Cell<(usize, usize)>,
     tasks: RefCell<Vec<AbortHandle>>,
 }
 
 impl Member {
     /// Takes part from now on. `ready` says whether the agent can serve.
-    pub fn start(fleet: &Fleet, ops: Option<SocketAddr>, ready: impl Fn() -> bool + 'static) -> Rc<Member> {
+    pub fn start(
+        fleet: &Fleet,
+        ops: Option<SocketAddr>,
+        ready: impl Fn() -> bool + 'static,
+        drains: Drains,
+    ) -> Rc<Member> {
         let about = About {
             name: fleet.member.clone(),
             site: fleet.site.clone(),
@@ -55,12 +75,15 @@
             answered: Cell::new(begun),
             renewals: Cell::new(0),
             failures: Cell::new(0),
+            draining: Cell::default(),
             tasks: RefCell::default(),
         });
         let ready = Rc::new(ready);
         let lease = spawn_local(Rc::clone(&member).keep_lease(Rc::clone(&ready)));
         let permits = spawn_local(Rc::clone(&member).keep_permits(ready));
-        member.tasks.borrow_mut().extend([lease.abort_handle(), permits.abort_handle()]);
+        let drains = spawn_local(Rc::clone(&member).keep_drains(drains));
+        let tasks = [lease, permits, drains].map(|task| task.abort_handle());
+        member.tasks.borrow_mut().extend(tasks);
         member
     }
 
@@ -188,6 +211,99 @@
         }
     }
 
+    /// Hears which servers the fleet has agreed to drain, and says for which of them this agent has become quiet. What was heard last
+    /// stands while the council is silent, whether or not the lease is held.
+    async fn keep_drains(self: Rc<Self>, drains: Drains) {
+        let listener = Rc::new(RefCell::new(Listener::default()));
+        let said = self.say_quiet(&listener, &drains.is_quiet);
+        let heard = self.hear_drains(&listener, &drains.drained);
+        tokio::join!(said, heard);
+    }
+
+    async fn hear_drains(&self, listener: &RefCell<Listener>, drained: &watch::Sender<BTreeSet<String>>) {
+        let mut asker = Asker::new(&self.fleet.council);
+        // Where it goes on watching: the history and revision of what was read.
+        let mut stands: Option<(u64, u64)> = None;
+        loop {
+            let envelope = self.envelope();
+            let request = match stands {
+                Some((history, after)) => Request::Watch { history, after, prefix: drain::PREFIX.into() },
+                None => Request::Read { stale: false, prefix: drain::PREFIX.into(), members: false },
+            };
+            let within = if stands.is_some() { WATCH_WAIT + DEADLINE } else { DEADLINE };
+            let pause = match asker.ask(&envelope, &request, within).await {
+                Asking::Settled(response) => match *response {
+                    Response::Read(view) => {
+                        stands = Some((view.history, view.revision));
+                        let mut listener = listener.borrow_mut();
+                        match listener.hears(&view) {
+                            Ok(()) => {
+                                let servers = listener.drained();
+                                self.draining.set((servers.len(), self.draining.get().1));
+                                drained.send_if_modified(|old| {
+                                    let changed = *old != servers;
+                                    if changed {
+                                        let list = servers.iter().cloned().collect::<Vec<_>>().join(", ");
+                                        tracing::info!(servers = list, "the fleet has agreed on what drains");
+                                    }
+                                    *old = servers;
+                                    changed
+                                });
+                            }
+                            Err(why) => tracing::error!("the drains stay as they were: {why}"),
+                        }
+                        0
+                    }
+                    Response::Changes { changes, upto } if changes.is_empty() => {
+                        stands = stands.map(|(history, _)| (history, upto));
+                        0
+                    }
+                    // Something has changed, or the watch does not reach back far enough: all is read again.
+                    _ => {
+                        stands = None;
+                        0
+                    }
+                },
+                // Another process may not know what this one did: it is asked for all. Nothing that was heard is taken back.
+                Asking::Again(pause, _) => {
+                    stands = None;
+                    pause
+                }
+            };
+            sleep(Duration::from_micros(pause.max(1000))).await;
+        }
+    }
+
+    async fn say_quiet(&self, listener: &RefCell<Listener>, is_quiet: &dyn Fn(&str) -> bool) {
+        let mut asker = Asker::new(&self.fleet.council);
+        let mut session = (0, 0);
+        loop {
+            sleep(QUIET_LOOK).await;
+            let Some(incarnation) = self.holds() else { continue };
+            let Some(quiet) = listener.borrow().to_say(incarnation, is_quiet) else { continue };
+            // Under the member's own session: what is late from before can't undo what was said after it.
+            if session.0 != incarnation {
+                session = (incarnation, 0);
+            }
+            session.1 += 1;
+            let command = Command::Write(quiet.told(&self.fleet.member));
+            let request = Request::Command(Call { session: Some(session), command });
+            let envelope = self.envelope();
+            while self.holds() == Some(incarnation) {
+                match asker.ask(&envelope, &request, DEADLINE).await {
+                    Asking::Settled(response) => {
+                        if let Response::Reply(Reply::Done(_), _) = *response {
+                            self.draining.set((self.draining.get().0, quiet.servers.len()));
+                            listener.borrow_mut().said(quiet);
+                        }
+                        break;
+                    }
+                    Asking::Again(pause, _) => sleep(Duration::from_micros(pause)).await,
+                }
+            }
+        }
+    }
+
     /// Goes, and says so if the council can be reached quickly.
     pub async fn leave(&self) {
         self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
@@ -213,6 +329,8 @@
             ("fleet_lease_held", "gauge", f64::from(u8::from(holder.holds(self.now()).is_some()))),
             ("fleet_incarnation", "gauge", holder.incarnation() as f64),
             ("fleet_council_silent_seconds", "gauge", silent),
+            ("fleet_servers_drained", "gauge", self.draining.get().0 as f64),
+            ("fleet_servers_quiet", "gauge", self.draining.get().1 as f64),
             ("fleet_renewals_total", "counter", self.renewals.get() as f64),
             ("fleet_call_failures_total", "counter", self.failures.get() as f64),
         ] {
--- a/crates/agent/src/fleet/mod.rs
+++ b/crates/agent/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! a file asks for it; the platform's can't.
 
 pub mod council;
+pub mod drain;
 pub mod hold;
 mod link;
 pub mod member;
--- a/crates/agent/src/fleet/tools.rs
+++ b/crates/agent/src/fleet/tools.rs
@@ -60,6 +60,13 @@
         #[command(flatten)]
         at: Where,
     },
+    /// State how much may be out at a time, from a file; without one, show what is out.
+    Budgets {
+        /// The file, as deploy/budgets.toml.
+        file: Option<PathBuf>,
+        #[command(flatten)]
+        at: Where,
+    },
     /// Take a permit back that nothing shows to be over. You answer for it.
     Free {
         /// What it is for, as agent:n3.
@@ -225,11 +232,11 @@
     }
 
     /// Writes what `change` makes of the records as they are, and again if they changed meanwhile.
-    pub async fn change(
+    pub async fn change<E>(
         &mut self,
         prefix: &str,
-        change: impl Fn(&View) -> Result<Txn, Denied>,
-    ) -> Result<Result<(), Denied>, String> {
+        change: impl Fn(&View) -> Result<Txn, E>,
+    ) -> Result<Result<(), E>, String> {
         loop {
             let view = self.read(prefix).await?;
             let txn = match change(&view) {
@@ -269,6 +276,7 @@
             done.map_err(|e| e.to_string())?;
             Ok(format!("{most} agents of {site} may be out at a time\n"))
         }
+        Tool::Budgets { file, at } => super::drain::budgets(file.as_deref(), &at).await,
         Tool::Free { thing, why, at } => {
             let name = thing.strip_prefix("agent:").ok_or("what a permit is for is written as agent:NAME")?;
             let mut client = client(&at)?;
--- a/crates/agent/src/lanes.rs
+++ b/crates/agent/src/lanes.rs
@@ -6,8 +6,11 @@
 use crate::metrics::{Metrics, Times};
 use crate::plan::{Members, PoolPlan};
 use heronhoist_decision::{ClassId, Discovery as Heard, Settings, Span};
-use heronhoist_engine::{Declined, Fixed, Levels, List, Member, Membership, Part, Pool, Quota, Setup};
+use heronhoist_engine::{
+    Declined, Drainable, Fixed, Levels, List, Member, Membership, Part, Pool, Quota, Setup,
+};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -99,6 +102,10 @@
     bodies: Rc<Quota>,
     requests: Rc<Quota>,
     seed: Cell<u64>,
+    /// Names of servers that the fleet has agreed to drain; none where the agent takes part in no fleet.
+    drained: RefCell<Option<watch::Receiver<BTreeSet<String>>>>,
+    /// Pools that take nothing new, and still have something under way.
+    closing: RefCell<Vec<Rc<Lane>>>,
 }
 
 /// What the process may hold for all pools.
@@ -116,7 +123,20 @@
         let (lanes, siblings) = Default::default();
         let (connections, bodies) = (Quota::new(room.connections), Quota::new(room.body_bytes));
         let (requests, seed) = (Quota::new(requests), Cell::new(seed));
-        Rc::new(Lanes { lanes, siblings, connections, bodies, requests, seed })
+        let (drained, closing) = Default::default();
+        Rc::new(Lanes { lanes, siblings, connections, bodies, requests, seed, drained, closing })
+    }
+
+    /// Pools that are opened from now on send nothing new to these servers either.
+    pub fn follow_drains(&self, drained: watch::Receiver<BTreeSet<String>>) {
+        self.drained.replace(Some(drained));
+    }
+
+    /// Whether nothing is out to a server, and nothing will be sent to it while it drains.
+    pub fn is_quiet(&self, server: &str) -> bool {
+        self.closing.borrow_mut().retain(|lane| lane.pool.levels().open > 0);
+        let (lanes, closing) = (self.lanes.borrow(), self.closing.borrow());
+        lanes.iter().chain(closing.iter()).all(|lane| lane.pool.is_quiet(server))
     }
 
     /// So much from now on; what is held beyond that is given back as far as it rests.
@@ -159,6 +179,9 @@
         let lanes: Vec<Rc<Lane>> = lanes.collect();
         for lane in old.iter().filter(|lane| !lanes.iter().any(|other| Rc::ptr_eq(lane, other))) {
             lane.pool.close();
+            if self.drained.borrow().is_some() {
+                self.closing.borrow_mut().push(Rc::clone(lane));
+            }
         }
         self.lanes.replace(lanes);
     }
@@ -191,7 +214,15 @@
             }
             Members::Discovery(_) => None,
         };
-        let (known, known_stands) = known.or_else(fixed).map_or((None, false), |(l, s)| (Some(l), s));
+        let known = known.or_else(fixed);
+        let membership = match &*self.drained.borrow() {
+            Some(drained) => {
+                let members = known.as_ref().map_or(&[][..], |(list, _)| &list.members);
+                Box::new(Drainable::new(membership, drained.clone(), members, None))
+            }
+            None => membership,
+        };
+        let (known, known_stands) = known.map_or((None, false), |(l, s)| (Some(l), s));
         // Each pool draws for itself.
         let seed = self.seed.replace(self.seed.get().wrapping_add(0x9e37_79b9_7f4a_7c15));
         let setup = Setup {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -29,19 +29,21 @@
 mod wire;
 
 use config::Config;
-use fleet::member::Member;
+use fleet::member::{Drains, Member};
 use handover::Sharers;
 use lanes::Lanes;
 use metrics::Metrics;
 use ops::Shown;
 use reload::{serve, Classes, Reload};
 use server::Server;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, timeout, Instant};
 
@@ -103,6 +105,8 @@
             inherited = handover::take_over(place, &sharers).await;
         }
     }
+    // Only a file with [fleet] makes a member; without one nothing of it is there.
+    let drained = config.fleet.as_ref().map(|_| watch::channel(BTreeSet::new()));
     // What it holds at first is as if it were not alone.
     let budget = config.limits().of(2);
     // A client's connection carries one request at a time, and there may be so many once this process is alone.
@@ -110,14 +114,17 @@
     let lanes = Lanes::new(budget.room, requests, config.seed);
     // The list in the file may be old. Where a process has served up to now, that one knows better: this one serves
     // once it has been told all.
+    if let Some((_, drained)) = &drained {
+        lanes.follow_drains(drained.clone());
+    }
     let known = config.known.take().map(|list| (list, inherited.is_none()));
     let serving = serve(&config.plan, &mut classes, &lanes, known);
     let server = Server::new(serving, Rc::clone(&lanes), Rc::clone(&metrics), budget.clients);
     spawn_local(Rc::clone(&server).sweep());
-    // Only a file with [fleet] makes a member; without one nothing of it is there.
-    let member = config.fleet.as_ref().map(|fleet| {
-        let server = Rc::clone(&server);
-        Member::start(fleet, config.ops, move || server.is_ready())
+    let member = config.fleet.as_ref().zip(drained).map(|(fleet, (drained, _))| {
+        let (server, quiet) = (Rc::clone(&server), Rc::clone(&lanes));
+        let drains = Drains { drained, is_quiet: Box::new(move |name| quiet.is_quiet(name)) };
+        Member::start(fleet, config.ops, move || server.is_ready(), drains)
     });
     if let Some(ops) = config.ops {
         let listener =
--- a/crates/agent/tests/fleet/main.rs
+++ b/crates/agent/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Several processes of the program that agree: stopped, killed, cut from their disks. Whatever is waited for is a condition;
 //! what must never be is asserted at every look.
 
+mod drains;
 mod processes;
 
 use heronhoist_council::state::{Call, Check, Command, Reply, Standing, Txn, Write};
--- a/crates/council/src/permit.rs
+++ b/crates/council/src/permit.rs
@@ -4,7 +4,7 @@
 use crate::state::{Check, Member, Record, Revision, Txn, Write};
 use crate::wire::View;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What may be out at a time, and what is.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -199,3 +199,11 @@
     );
     holds.map(|(key, _)| key.clone()).collect()
 }
+
+/// All things that are out by permits of any site's agents.
+pub fn all_out(view: &View) -> Result<BTreeSet<String>, Denied> {
+    let first = agents_of("");
+    let keys = view.records.keys().filter(|key| key.starts_with(&first));
+    let budgets = keys.map(|key| read(key, view)).collect::<Result<Vec<_>, Denied>>()?;
+    Ok(budgets.into_iter().flatten().flat_map(|(budget, _)| budget.out.into_keys()).collect())
+}
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -88,6 +88,24 @@
     Living(String, u64),
     /// The lease of this name and incarnation has ended by the council's count.
     Ended(String, u64),
+    /// Nothing of this has changed after a revision: what was counted over all of it still stands.
+    Unchanged(Of, Revision),
+}
+
+/// What changes as one, as far as [`Check::Unchanged`] goes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Of {
+    /// Who of the agents takes part, with which incarnation, and whether each can serve. Agents are the members without a
+    /// colon in their names; wrappers and controllers, which have one, come and go all the time.
+    Agents,
+    /// All records of a kind.
+    Kind(String),
+}
+
+/// Whether a member is an agent, as against an operator's wrapper or a controller.
+pub fn is_agent(name: &str) -> bool {
+    !name.contains(':')
 }
 
 /// What a transaction changes.
@@ -250,6 +268,8 @@
     bytes: usize,
     sessions: BTreeMap<u64, Session>,
     changes: VecDeque<Change>,
+    /// The last change of each kind of record, and, under an empty name, of the agents.
+    touched: BTreeMap<String, Revision>,
     /// Watchers from here on can be told all.
     oldest: Revision,
 }
@@ -280,6 +300,7 @@
             bytes: 0,
             sessions: BTreeMap::new(),
             changes: VecDeque::new(),
+            touched: BTreeMap::new(),
             oldest: 0,
         }
     }
@@ -293,6 +314,10 @@
         self.oldest = self.revision;
         self.changes.clear();
         self.sessions.clear();
+        // Nothing that was counted before the restore stands.
+        for kind in KINDS.iter().copied().chain([""]) {
+            self.touched.insert(kind.into(), self.revision);
+        }
         for member in self.members.values_mut().filter(|member| member.standing.may_hold()) {
             member.standing = Standing::Expired;
             member.ready = false;
@@ -444,6 +469,13 @@
                 self.records.get(key).is_some_and(|record| record.revision == *revision)
             }
             Check::Living(name, incarnation) => self.living(name, *incarnation).is_some(),
+            Check::Unchanged(of, since) => {
+                let of = match of {
+                    Of::Agents => "",
+                    Of::Kind(kind) => kind,
+                };
+                self.touched.get(of).is_none_or(|touched| touched <= since)
+            }
             Check::Ended(name, incarnation) => !self
                 .members
                 .get(name)
@@ -510,6 +542,16 @@
 
     /// Keeps a change of the present revision for watchers. What is cut off is always whole revisions.
     fn note(&mut self, what: Changed, bounds: &Bounds) {
+        let touched = match &what {
+            Changed::Record(key, _) => key.split('/').next(),
+            Changed::Member(name, _) => is_agent(name).then_some(""),
+        };
+        if let Some(touched) = touched {
+            match self.touched.get_mut(touched) {
+                Some(at) => *at = self.revision,
+                None => drop(self.touched.insert(touched.into(), self.revision)),
+            }
+        }
         self.changes.push_back(Change { revision: self.revision, what });
         while self.changes.len() > bounds.changes.max(TXN_MOST) {
             let Some(cut) = self.changes.front().map(|change| change.revision) else { return };
--- a/crates/council/tests/state.rs
+++ b/crates/council/tests/state.rs
@@ -1,6 +1,6 @@
 //! The agreed state: what is carried out once, checked where it is taken, kept within bounds and told to watchers.
 
-use heronhoist_council::state::{Call, Changed, Check, Command, Reply, Standing, State, Txn, Write};
+use heronhoist_council::state::{Call, Changed, Check, Command, Of, Reply, Standing, State, Txn, Write};
 use heronhoist_council::Bounds;
 use std::collections::BTreeMap;
 
@@ -184,3 +184,30 @@
         "above all that was numbered since the copy"
     );
 }
+
+/// What was counted over many records or all agents is checked in the step that rests on it, also after a restore.
+#[test]
+fn a_count_stands_only_until_something_of_it_changes() {
+    let (mut state, bounds) = (state(), Bounds::default());
+    let unchanged = |of: Of, since| swap(Check::Unchanged(of, since), "note/x", "1");
+    let kind = || Of::Kind("drain".into());
+    state.apply(&call(put("drain/a", "1")), &bounds);
+    let seen = state.revision;
+    state.apply(&call(put("budget/a", "1")), &bounds);
+    state.apply(&join("hold:n1", 1), &bounds);
+    assert!(matches!(state.apply(&unchanged(kind(), seen), &bounds), Reply::Done(_)), "nothing of it");
+    assert!(matches!(state.apply(&unchanged(Of::Agents, seen), &bounds), Reply::Done(_)), "a wrapper");
+    state.apply(
+        &call(Command::Write(Txn { checks: Vec::new(), writes: vec![Write::Delete("drain/a".into())] })),
+        &bounds,
+    );
+    assert_eq!(state.apply(&unchanged(kind(), seen), &bounds), Reply::Conflict { check: 0 });
+    let joined = incarnation(&state.apply(&join("n1", 2), &bounds));
+    assert_eq!(state.apply(&unchanged(Of::Agents, seen), &bounds), Reply::Conflict { check: 0 });
+    let seen = state.revision;
+    state.apply(&call(Command::Report { name: "n1".into(), incarnation: joined, ready: true }), &bounds);
+    assert_eq!(state.apply(&unchanged(Of::Agents, seen), &bounds), Reply::Conflict { check: 0 });
+    let seen = state.revision;
+    let mut restored = state.restored(8, BTreeMap::new());
+    assert_eq!(restored.apply(&unchanged(kind(), seen), &bounds), Reply::Conflict { check: 0 });
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,12 +9,14 @@
 //! All of it runs on one thread, in a [`tokio::task::LocalSet`].
 
 mod clock;
+mod drains;
 mod membership;
 mod pool;
 mod quota;
 mod servers;
 mod upstream;
 
+pub use drains::Drainable;
 pub use membership::{Feed, Fixed, Heard, List, Member, Membership, State};
 pub use pool::{Declined, Exchange, Final, Levels, Owed, Pool, Setup, ANSWER_RESERVE};
 pub use quota::{Part, Portion, Quota};
--- a/crates/engine/src/membership.rs
+++ b/crates/engine/src/membership.rs
@@ -109,6 +109,16 @@
         Feed { to, wants, version: Cell::new(version) }
     }
 
+    /// Where it leads.
+    pub(crate) fn heard(&self) -> Rc<dyn Heard<A>> {
+        Rc::clone(&self.to)
+    }
+
+    /// The same way, with another stop on it, which hands on what it hears.
+    pub(crate) fn through(self, stop: Rc<dyn Heard<A>>) -> Feed<A> {
+        Feed { to: stop, ..self }
+    }
+
     /// The version of the list that stands; `None` before the first of a source.
     pub fn version(&self) -> Option<i64> {
         self.version.get()
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -312,6 +312,11 @@
         (at <= self.0.clock.now()).then(|| core.timers.pop().map(|Reverse((_, id))| TimerId(id)))?
     }
 
+    /// Whether nothing is out to the server of this name, and nothing will be sent to it until a list says that it serves.
+    pub fn is_quiet(&self, server: &str) -> bool {
+        self.0.core.borrow().servers.is_quiet(server, self.0.drain_grace.get())
+    }
+
     /// What it is called.
     pub fn name(&self) -> &str {
         &self.0.name
--- a/crates/engine/src/servers.rs
+++ b/crates/engine/src/servers.rs
@@ -105,6 +105,15 @@
         server.is_some_and(|s| s.off_since.is_none_or(|since| since.elapsed() + DRAIN_RESERVE < grace))
     }
 
+    /// Whether nothing is out to the server of this name, and nothing will be sent to it. One that is not known is quiet.
+    pub(crate) fn is_quiet(&self, name: &str, grace: Duration) -> bool {
+        let server = self.ids.get(name).and_then(|id| self.servers.get(id));
+        server.is_none_or(|s| {
+            let past = s.off_since.is_some_and(|since| since.elapsed() + DRAIN_RESERVE >= grace);
+            s.out == 0 && past
+        })
+    }
+
     /// One more attempt or probe is out to it; `None` if it is not known any more.
     pub(crate) fn enter(&mut self, server: ServerId) -> Option<Place<A>> {
         self.servers.get_mut(&server).map(|s| {
--- a/crates/lab/src/processes/world/mod.rs
+++ b/crates/lab/src/processes/world/mod.rs
@@ -476,7 +476,16 @@
         };
         let names: Vec<String> = late.map(about).collect();
         let behind = self.laggards().join(" ");
-        format!("leader {:?}, {}, behind: {behind}", self.leader.is_some(), names.join(" "))
+        let state = self.processes.iter().find_map(|process| match &process.role {
+            Role::Council { desk: Some(desk), .. } => Some(desk.node().state()),
+            _ => None,
+        });
+        let budgets = state.map(|state| {
+            let records = state.records.iter().filter(|(key, _)| key.starts_with("budget/"));
+            records.map(|(key, record)| format!("{key} {}", record.value)).collect::<Vec<_>>().join(" ")
+        });
+        let names = names.join(" ");
+        format!("leader {:?}, {names}, behind: {behind}; {budgets:?}", self.leader.is_some())
     }
 
     fn is_right(process: &Process) -> bool {
