Let a joining that comes late displace nobody, and number reports of readiness

A joining held by a link is asked again elsewhere, answered, the lease ends, the process joins anew; then the first one comes and counts as a newer process of the name (State::join took any other nonce for one). The member that it supersedes hears so, leaves the fleet and never comes back. Ruled out: the permits (their records were right), a lost majority (both had a leader).

A joining names the incarnation that it follows, and is answered with the present one where the name has gone on. Reports of readiness came late in the same way and could undo a newer one: they are numbered within an incarnation.

--- a/crates/council/src/holder.rs
+++ b/crates/council/src/holder.rs
@@ -42,11 +42,16 @@
 pub struct Holder {
     about: About,
     nonce: u64,
+    /// The incarnation that the name has as far as it knows.
+    after: u64,
     incarnation: Option<u64>,
+    reports: u64,
     held: Held,
     stand: Stand,
     ready: bool,
     reported: bool,
+    /// What the report under way says.
+    telling: bool,
     due: Time,
     asked: Option<Time>,
     /// The longest pause after a failure, once the term is known: a lease must not run out between two tries.
@@ -59,11 +64,14 @@
         Holder {
             about,
             nonce,
+            after: 0,
             incarnation: None,
+            reports: 0,
             held: Held::default(),
             stand: Stand::Joining,
             ready: false,
             reported: false,
+            telling: false,
             due: now,
             asked: None,
             pause_most: Time::MAX,
@@ -121,12 +129,16 @@
             }
             None => {
                 let About { name, site, version, address } = self.about.clone();
-                let command = Command::Join { name, nonce: self.nonce, site, version, address };
+                let (nonce, after) = (self.nonce, self.after);
+                let command = Command::Join { name, nonce, after, site, version, address };
                 Request::Command(Call { session: None, command })
             }
             Some(incarnation) if self.reported != self.ready && self.held.holds(now) => {
                 let name = self.about.name.clone();
-                let command = Command::Report { name, incarnation, ready: self.ready };
+                self.reports += 1;
+                let (number, ready) = (self.reports, self.ready);
+                self.telling = ready;
+                let command = Command::Report { name, incarnation, number, ready };
                 Request::Command(Call { session: None, command })
             }
             Some(_) => Request::Renew,
@@ -153,19 +165,25 @@
                 // Only a renewal grants the lease: this answer may be a repeat, of a joining long ago.
                 self.due = now;
             }
+            Some(Response::Reply(Reply::Present { incarnation }, _)) => {
+                self.after = *incarnation;
+                self.due = now;
+            }
+            // A report of this process that was thought lost came after all, and then this one's copy.
+            Some(Response::Reply(Reply::Outdated, _)) => self.due = now,
             Some(Response::Reply(Reply::Wait { .. }, _)) => {
                 self.stand = Stand::Waiting;
                 self.due = now + WAIT;
             }
             Some(Response::Reply(Reply::Done(_), _)) => {
-                self.reported = self.ready;
+                self.reported = self.telling;
                 // The lease is as it was: it is renewed next.
                 self.due = now;
             }
             Some(Response::Renewed(terms)) => self.renewed(asked, terms, now, draw),
             Some(Response::Ended | Response::Reply(Reply::NotLiving, _)) => {
                 self.held.end();
-                self.incarnation = None;
+                self.after = self.incarnation.take().unwrap_or(self.after);
                 self.stand = Stand::Ended;
                 // Another process, as far as the council is concerned.
                 self.nonce = self.nonce.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(1);
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -61,6 +61,8 @@
     pub address: String,
     /// It says that it can serve.
     pub ready: bool,
+    /// The number of the report that said so.
+    pub report: u64,
     /// Whether it is counted on.
     pub standing: Standing,
     /// The revision of the last change.
@@ -139,6 +141,9 @@
         name: String,
         /// Drawn at its start.
         nonce: u64,
+        /// The incarnation that the name has as far as this process knows, 0 for none: a joining that comes late, when the name
+        /// has gone on to another, does nothing.
+        after: u64,
         /// Where it stands.
         site: String,
         /// Of the program.
@@ -152,6 +157,8 @@
         name: String,
         /// Which one.
         incarnation: u64,
+        /// Grows with each report: one that comes late does nothing.
+        number: u64,
         /// It can.
         ready: bool,
     },
@@ -199,6 +206,11 @@
         /// Its incarnation.
         incarnation: u64,
     },
+    /// The name has this incarnation, 0 for none, and not the one that was named; nothing was done.
+    Present {
+        /// Its incarnation.
+        incarnation: u64,
+    },
     /// Done, at this revision.
     Done(Revision),
     /// Not done: this check, counted from 0, did not hold.
@@ -350,14 +362,23 @@
                 self.revision += 1;
                 Reply::Opened(self.open(bounds))
             }
-            Command::Join { name, nonce, site, version, address } => {
-                self.join(name, *nonce, [site, version, address], bounds)
+            Command::Join { name, nonce, after, site, version, address } => {
+                self.join(name, (*nonce, *after), [site, version, address], bounds)
+            }
+            Command::Report { name, incarnation, number, ready } => {
+                let Some(member) = self.living(name, *incarnation) else { return Reply::NotLiving };
+                let (is, at) = (member.ready, member.revision);
+                if member.report >= *number {
+                    return Reply::Outdated;
+                }
+                if let Some(member) = self.members.get_mut(name) {
+                    member.report = *number;
+                }
+                match is == *ready {
+                    true => Reply::Done(at),
+                    false => self.change_member(name, bounds, |member| member.ready = *ready),
+                }
             }
-            Command::Report { name, incarnation, ready } => match self.living(name, *incarnation) {
-                Some(member) if member.ready == *ready => Reply::Done(member.revision),
-                Some(_) => self.change_member(name, bounds, |member| member.ready = *ready),
-                None => Reply::NotLiving,
-            },
             Command::Leave { name, incarnation } => self.end(name, *incarnation, Standing::Left, bounds),
             Command::Expire(leases) => {
                 for (name, incarnation) in leases {
@@ -394,7 +415,13 @@
         self.members.values().any(|member| member.incarnation == session && member.standing.may_hold())
     }
 
-    fn join(&mut self, name: &str, nonce: u64, about: [&String; 3], bounds: &Bounds) -> Reply {
+    fn join(
+        &mut self,
+        name: &str,
+        (nonce, after): (u64, u64),
+        about: [&String; 3],
+        bounds: &Bounds,
+    ) -> Reply {
         let [site, version, address] = about;
         let faults = [("name", name), ("site", site), ("version", version), ("address", address)];
         if let Some(fault) = faults.iter().find_map(|(what, text)| name_fault(what, text)) {
@@ -412,6 +439,9 @@
                     _ => Reply::NotLiving,
                 };
             }
+            if incarnation != after {
+                return Reply::Present { incarnation };
+            }
             match member.standing {
                 Standing::Living => {
                     self.change_member(name, bounds, |member| member.standing = Standing::Superseded);
@@ -420,6 +450,8 @@
                 Standing::Superseded => return Reply::Wait { incarnation },
                 Standing::Left | Standing::Expired => {}
             }
+        } else if after != 0 {
+            return Reply::Present { incarnation: 0 };
         } else if self.members.len() >= bounds.members {
             return Reply::Over(Excess::of("members", bounds.members));
         }
@@ -428,7 +460,8 @@
         let [site, version, address] = about.map(Clone::clone);
         let standing = Standing::Living;
         let revision = self.revision;
-        let member = Member { incarnation, nonce, site, version, address, ready: false, standing, revision };
+        let (ready, report) = (false, 0);
+        let member = Member { incarnation, nonce, site, version, address, ready, report, standing, revision };
         self.members.insert(name.into(), member.clone());
         self.note(Changed::Member(name.into(), Some(member)), bounds);
         Reply::Joined { incarnation }
--- a/crates/council/tests/parts.rs
+++ b/crates/council/tests/parts.rs
@@ -103,7 +103,8 @@
 
     fn join(&mut self, name: &str, nonce: u64) -> u64 {
         let [site, version, address] = ["east", "1", ""].map(String::from);
-        match self.run(Command::Join { name: name.into(), nonce, site, version, address }) {
+        let after = self.0.members.get(name).map_or(0, |member| member.incarnation);
+        match self.run(Command::Join { name: name.into(), nonce, after, site, version, address }) {
             Reply::Joined { incarnation } => incarnation,
             other => panic!("{other:?}"),
         }
--- a/crates/council/tests/state.rs
+++ b/crates/council/tests/state.rs
@@ -13,8 +13,12 @@
 }
 
 fn join(name: &str, nonce: u64) -> Call {
+    join_after(name, nonce, 0)
+}
+
+fn join_after(name: &str, nonce: u64, after: u64) -> Call {
     let [site, version, address] = ["east", "1", "127.0.0.1:1"].map(String::from);
-    call(Command::Join { name: name.into(), nonce, site, version, address })
+    call(Command::Join { name: name.into(), nonce, after, site, version, address })
 }
 
 fn put(key: &str, value: &str) -> Command {
@@ -75,7 +79,9 @@
     let (mut state, bounds) = (state(), Bounds::default());
     let first = incarnation(&state.apply(&join("n1", 1), &bounds));
     assert_eq!(incarnation(&state.apply(&join("n1", 1), &bounds)), first, "a repeat is known by its nonce");
-    assert_eq!(state.apply(&join("n1", 2), &bounds), Reply::Wait { incarnation: first });
+    assert_eq!(state.apply(&join("n1", 2), &bounds), Reply::Present { incarnation: first });
+    assert_eq!(state.members["n1"].standing, Standing::Living, "whoever does not know of it takes nothing");
+    assert_eq!(state.apply(&join_after("n1", 2, first), &bounds), Reply::Wait { incarnation: first });
     assert_eq!(state.members["n1"].standing, Standing::Superseded);
     assert!(matches!(
         state.apply(&swap(Check::Living("n1".into(), first), "note/a", "1"), &bounds),
@@ -86,13 +92,24 @@
         Reply::Conflict { .. }
     ));
     state.apply(&call(Command::Expire(vec![("n1".into(), first)])), &bounds);
-    let second = incarnation(&state.apply(&join("n1", 2), &bounds));
+    let second = incarnation(&state.apply(&join_after("n1", 2, first), &bounds));
     assert!(second > first);
+    // Joinings that come late: of a process that was there before, and of one that is there no more.
+    for late in [join("n1", 1), join_after("n1", 9, first)] {
+        assert_eq!(state.apply(&late, &bounds), Reply::Present { incarnation: second });
+    }
+    assert_eq!(state.members["n1"].standing, Standing::Living, "it is not displaced by one of them");
+    let report =
+        |number, ready| call(Command::Report { name: "n1".into(), incarnation: second, number, ready });
+    assert!(matches!(state.apply(&report(1, true), &bounds), Reply::Done(_)));
+    assert!(matches!(state.apply(&report(2, false), &bounds), Reply::Done(_)));
+    assert_eq!(state.apply(&report(1, true), &bounds), Reply::Outdated, "a report that comes late");
+    assert!(!state.members["n1"].ready);
     assert!(matches!(
         state.apply(&swap(Check::Ended("n1".into(), first), "note/a", "1"), &bounds),
         Reply::Done(_)
     ));
-    let late = Command::Report { name: "n1".into(), incarnation: first, ready: true };
+    let late = Command::Report { name: "n1".into(), incarnation: first, number: 1, ready: true };
     assert_eq!(state.apply(&call(late), &bounds), Reply::NotLiving);
     assert!(!state.members["n1"].ready);
 }
@@ -180,7 +197,7 @@
     assert_eq!(restored.records["budget/x"].value, "taken");
     assert!(restored.changes_after(first, 9).is_err(), "watchers of the old history read all");
     assert!(
-        incarnation(&restored.apply(&join("n1", 2), &bounds)) > later,
+        incarnation(&restored.apply(&join_after("n1", 2, first), &bounds)) > later,
         "above all that was numbered since the copy"
     );
 }
@@ -205,7 +222,10 @@
     let joined = incarnation(&state.apply(&join("n1", 2), &bounds));
     assert_eq!(state.apply(&unchanged(Of::Agents, seen), &bounds), Reply::Conflict { check: 0 });
     let seen = state.revision;
-    state.apply(&call(Command::Report { name: "n1".into(), incarnation: joined, ready: true }), &bounds);
+    state.apply(
+        &call(Command::Report { name: "n1".into(), incarnation: joined, number: 1, ready: true }),
+        &bounds,
+    );
     assert_eq!(state.apply(&unchanged(Of::Agents, seen), &bounds), Reply::Conflict { check: 0 });
     let seen = state.revision;
     let mut restored = state.restored(8, BTreeMap::new());
--- a/crates/release/tests/release.rs
+++ b/crates/release/tests/release.rs
@@ -24,11 +24,13 @@
     fn join(&mut self, name: &str, site: &str) -> u64 {
         let nonce = self.0.revision + 1;
         let [site, version, address] = [site, "1", ""].map(String::from);
-        let incarnation = match self.run(Command::Join { name: name.into(), nonce, site, version, address }) {
+        let after = self.0.members.get(name).map_or(0, |member| member.incarnation);
+        let joining = Command::Join { name: name.into(), nonce, after, site, version, address };
+        let incarnation = match self.run(joining) {
             Reply::Joined { incarnation } => incarnation,
             other => panic!("{other:?}"),
         };
-        self.run(Command::Report { name: name.into(), incarnation, ready: true });
+        self.run(Command::Report { name: name.into(), incarnation, number: 1, ready: true });
         incarnation
     }
 
@@ -104,6 +106,7 @@
     let join = |nonce| Command::Join {
         name: "n3".into(),
         nonce,
+        after: agents[2],
         site: "east".into(),
         version: "2".into(),
         address: String::new(),
@@ -183,7 +186,7 @@
     assert!(agents(&council, "n1").is_ok());
     council.expire("n2", n2);
     assert!(agents(&council, "n1").is_ok());
-    council.run(Command::Report { name: "n3".into(), incarnation: n3, ready: false });
+    council.run(Command::Report { name: "n3".into(), incarnation: n3, number: 2, ready: false });
     let Err(Denied::Spent { who, .. }) = agents(&council, "n1") else { panic!("given") };
     assert_eq!(who, ["n2 (its lease ended)", "n3 (not ready)"]);
     assert!(agents(&council, "n2").is_ok(), "it is out already");
@@ -206,7 +209,7 @@
     let happenings: [(&str, Happens); 5] = [
         ("an agent dies", |council, n1| council.expire("n1", n1)),
         ("an agent can't serve", |council, n1| {
-            council.run(Command::Report { name: "n1".into(), incarnation: n1, ready: false });
+            council.run(Command::Report { name: "n1".into(), incarnation: n1, number: 2, ready: false });
         }),
         ("another server is drained", |council, _| {
             council.done(drain::enter(&council.view(), "s2", drain(5), false).expect("allowed"));
