--- a/check.sh
+++ b/check.sh
@@ -51,6 +51,13 @@
 planted=0
 lab run scenarios/council-permits.toml --seeds 1..20 --set 'planted="freed-by-silence"' || planted=$?
 test "$planted" -eq 1
+# Budgets that count the dead, and drains that all agents keep; and what the judge must find (the planted faults).
+lab run scenarios/release-servers.toml --seeds 1..8
+for planted_at in counted-before:5 barrier-forgets:18; do
+    planted=0
+    lab run scenarios/release-servers.toml --seeds "${planted_at#*:}" --set "planted=\"${planted_at%:*}\"" || planted=$?
+    test "$planted" -eq 1
+done
 for scenario in scenarios/council/*.toml; do
     lab run "$scenario" --seeds 1..4
 done
--- a/crates/lab/src/processes/judge.rs
+++ b/crates/lab/src/processes/judge.rs
@@ -84,12 +84,53 @@
     pub budget: String,
     /// What.
     pub what: String,
+    /// When the permit was agreed.
+    pub granted: Micros,
     /// From when,
     pub from: Micros,
     /// to when it was seen serving.
     pub to: Option<Micros>,
 }
 
+/// When a member's lease had ended and no newer process of its name had joined, by the council's count.
+#[derive(Debug, Clone)]
+pub struct Down {
+    /// Under which budget it counts.
+    pub budget: String,
+    /// Who.
+    pub what: String,
+    /// From when,
+    pub from: Micros,
+    /// to when it had joined again.
+    pub to: Option<Micros>,
+}
+
+/// When a record server might stop: a barrier was seen open.
+#[derive(Debug, Clone)]
+pub struct Opened {
+    /// The server.
+    pub server: String,
+    /// When that was seen,
+    pub from: Micros,
+    /// to when its drain began to be taken back.
+    pub to: Option<Micros>,
+    /// The agents whose leases were counted on then, by name and incarnation.
+    pub living: BTreeMap<String, u64>,
+}
+
+/// A request that an agent sent to a record server.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    /// The agent,
+    pub agent: String,
+    /// and which one.
+    pub incarnation: u64,
+    /// To whom.
+    pub server: String,
+    /// When.
+    pub at: Micros,
+}
+
 /// All that was seen.
 #[derive(Debug, Default)]
 pub struct Seen {
@@ -105,18 +146,27 @@
     pub watched: Vec<Watched>,
     /// What was out.
     pub outs: Vec<Out>,
+    /// Who was down, as far as the council knew.
+    pub downs: Vec<Down>,
+    /// Which servers might stop.
+    pub opened: Vec<Opened>,
+    /// What was sent to servers that drained.
+    pub sent: Vec<Sent>,
     /// Other things that must not be, in words.
     pub wrongs: Vec<String>,
 }
 
 /// All that is wrong, a line each; empty if all held.
-pub fn judge(seen: &Seen, permits: u32) -> Vec<String> {
+pub fn judge(seen: &Seen, permits: u32, servers_out: u32) -> Vec<String> {
     let mut wrongs = seen.wrongs.clone();
     wrongs.extend(one_order(&seen.done));
     wrongs.extend(one_holder(&seen.beliefs, &seen.ended));
     wrongs
         .extend(seen.watched.iter().enumerate().flat_map(|(n, watched)| gapless(n, watched, &seen.changes)));
     wrongs.extend(within_budget(&seen.outs, permits));
+    wrongs.extend(counted_with_the_dead(&seen.outs, &seen.downs, permits));
+    wrongs.extend(left_alone(&seen.opened, &seen.sent, &seen.ended));
+    wrongs.extend(few_servers(&seen.opened, servers_out));
     wrongs
 }
 
@@ -231,6 +281,77 @@
     wrongs
 }
 
+/// When a permit is agreed, what is out by permits and who is down, as far as the council knows, are together no more than is
+/// stated; one that is down itself takes nothing more.
+fn counted_with_the_dead(outs: &[Out], downs: &[Down], permits: u32) -> Vec<String> {
+    let mut wrongs = Vec::new();
+    for out in outs {
+        let at = out.granted;
+        let down = downs
+            .iter()
+            .filter(|down| down.budget == out.budget && down.from < at && down.to.is_none_or(|to| to > at));
+        let mut with: Vec<&str> = down.map(|down| down.what.as_str()).collect();
+        if with.contains(&out.what.as_str()) {
+            continue;
+        }
+        let others = outs.iter().filter(|other| {
+            other.budget == out.budget && other.granted <= at && other.to.is_none_or(|to| to > at)
+        });
+        with.extend(others.map(|other| other.what.as_str()));
+        with.sort_unstable();
+        with.dedup();
+        if with.len() > permits as usize && !downs.is_empty() {
+            wrongs.push(format!(
+                "{}: a permit for {} at {at}, with {} out, of {permits}",
+                out.budget,
+                out.what,
+                with.join(", ")
+            ));
+        }
+    }
+    wrongs
+}
+
+/// While a server may stop, nobody sends to it who held a lease when it might first, and still does.
+fn left_alone(opened: &[Opened], sent: &[Sent], ended: &HashMap<(String, u64), Micros>) -> Vec<String> {
+    let mut wrongs = Vec::new();
+    for opened in opened {
+        let during = |sent: &&Sent| {
+            sent.server == opened.server && sent.at > opened.from && opened.to.is_none_or(|to| sent.at < to)
+        };
+        for one in sent.iter().filter(during) {
+            let counted = opened.living.get(&one.agent) == Some(&one.incarnation);
+            let held = ended.get(&(one.agent.clone(), one.incarnation)).is_none_or(|end| *end > one.at);
+            if counted && held {
+                wrongs.push(format!(
+                    "{} {} sent to {} at {}, which might stop since {}",
+                    one.agent, one.incarnation, one.server, one.at, opened.from
+                ));
+            }
+        }
+    }
+    wrongs
+}
+
+/// Never more servers that may stop than are stated.
+fn few_servers(opened: &[Opened], most: u32) -> Vec<String> {
+    let mut wrongs = Vec::new();
+    for one in opened {
+        let at = one.from;
+        let mut with: Vec<&str> = opened
+            .iter()
+            .filter(|other| other.from <= at && other.to.is_none_or(|to| to > at))
+            .map(|other| other.server.as_str())
+            .collect();
+        with.sort_unstable();
+        with.dedup();
+        if with.len() > most as usize {
+            wrongs.push(format!("{} might stop at {at}, of {most} servers", with.join(", ")));
+        }
+    }
+    wrongs
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -283,8 +404,37 @@
         };
         assert!(gapless(0, &watched(&[2, 3], 3), &changes).is_empty());
         assert_eq!(gapless(0, &watched(&[3], 3), &changes).len(), 1);
-        let out = |what: &str, from, to| Out { budget: "b".into(), what: what.into(), from, to };
+        let out =
+            |what: &str, from, to| Out { budget: "b".into(), what: what.into(), granted: from, from, to };
         assert!(within_budget(&[out("x", 0, Some(5)), out("y", 5, None)], 1).is_empty());
         assert_eq!(within_budget(&[out("x", 0, Some(6)), out("y", 5, None)], 1).len(), 1);
     }
+
+    #[test]
+    fn servers_that_are_sent_to_and_permits_beside_the_dead_are_seen() {
+        let opened = |server: &str, from, to| Opened {
+            server: server.into(),
+            from,
+            to,
+            living: BTreeMap::from([("a".to_string(), 1)]),
+        };
+        let sent = |incarnation, at| Sent { agent: "a".into(), incarnation, server: "s".into(), at };
+        let none = HashMap::new();
+        let open = [opened("s", 10, Some(20))];
+        assert!(left_alone(&open, &[sent(1, 10), sent(1, 20), sent(2, 15)], &none).is_empty());
+        assert_eq!(left_alone(&open, &[sent(1, 15)], &none).len(), 1);
+        let ended = HashMap::from([(("a".to_string(), 1), 14)]);
+        assert!(left_alone(&open, &[sent(1, 15)], &ended).is_empty(), "nobody counts on it");
+        assert!(few_servers(&[opened("s", 0, Some(5)), opened("t", 5, None)], 1).is_empty());
+        assert_eq!(few_servers(&[opened("s", 0, Some(6)), opened("t", 5, None)], 1).len(), 1);
+        let down = |what: &str, from, to| Down { budget: "b".into(), what: what.into(), from, to };
+        let out = Out { budget: "b".into(), what: "x".into(), granted: 10, from: 12, to: Some(20) };
+        let outs = [out];
+        assert!(counted_with_the_dead(&outs, &[down("y", 0, Some(10)), down("z", 11, None)], 1).is_empty());
+        assert_eq!(counted_with_the_dead(&outs, &[down("y", 0, None)], 1).len(), 1);
+        assert!(
+            counted_with_the_dead(&outs, &[down("y", 0, None), down("x", 3, None)], 1).is_empty(),
+            "it is down itself"
+        );
+    }
 }
--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -37,7 +37,7 @@
                     return;
                 }
                 let outcome = world::play(plan, seed);
-                let wrongs = judge::judge(&outcome.seen, plan.permits);
+                let wrongs = judge::judge(&outcome.seen, plan.permits, plan.servers_out);
                 let mut each = each.lock().unwrap_or_else(|broken| broken.into_inner());
                 each(Played { seed, outcome, wrongs });
             });
@@ -85,6 +85,10 @@
                 "seed {seed}: {} operations, {} of unknown outcome, {} faults, {} leaders, {} permits, digest {:016x}: ",
                 figures[0], figures[1], figures[2], figures[3], figures[4], outcome.digest
             );
+            if !outcome.seen.opened.is_empty() {
+                let (drains, late) = (outcome.seen.opened.len(), outcome.seen.sent.len());
+                let _ = write!(line, "{drains} drains came to stand, {late} sent to servers that drained, ");
+            }
             if outcome.ended > 0 {
                 let _ = write!(line, "{} ended by themselves, ", outcome.ended);
             }
@@ -126,7 +130,7 @@
         let place = folder.join(format!("seed-{seed}"));
         let _ = std::fs::remove_dir_all(&place);
         let outcome = rig::play(plan, seed, program, &place)?;
-        let wrongs = judge::judge(&outcome.seen, plan.permits);
+        let wrongs = judge::judge(&outcome.seen, plan.permits, plan.servers_out);
         let mut line = format!(
             "seed {seed}: {} operations, {} of unknown outcome, {} faults, {} out by permits, {} looks at leases, {} ended by themselves, {} watched stretches: ",
             outcome.settled,
@@ -181,7 +185,7 @@
             let outcomes: Vec<_> = (1..=8).map(|seed| world::play(&plan, seed)).collect();
             assert!(outcomes.iter().map(|outcome| outcome.ended).sum::<usize>() >= least, "{}", plan.name);
             for outcome in outcomes {
-                assert_eq!(judge::judge(&outcome.seen, plan.permits), Vec::<String>::new());
+                assert_eq!(judge::judge(&outcome.seen, plan.permits, plan.servers_out), Vec::<String>::new());
             }
         }
     }
@@ -191,7 +195,7 @@
         let mut plan = plan(FAULTS);
         (plan.length, plan.every) = (8_000_000, 0);
         let outcome = world::play(&plan, 1);
-        assert_eq!(judge::judge(&outcome.seen, plan.permits), Vec::<String>::new());
+        assert_eq!(judge::judge(&outcome.seen, plan.permits, plan.servers_out), Vec::<String>::new());
         assert_eq!((outcome.unknown, outcome.leaders), (0, 1));
         assert!(outcome.settled > 100, "{}", outcome.settled);
         assert_eq!(plan.planted, Planted::Nothing);
--- a/crates/lab/src/processes/plan.rs
+++ b/crates/lab/src/processes/plan.rs
@@ -38,6 +38,12 @@
     pub operators: usize,
     /// Permits for agents of a site at a time.
     pub permits: u32,
+    /// Record servers to which agents send.
+    pub servers: usize,
+    /// Operators that drain servers.
+    pub drainers: usize,
+    /// Servers that may be out at a time.
+    pub servers_out: u32,
     /// One way between two processes,
     pub one_way: Micros,
     /// and up to so much more.
@@ -152,15 +158,21 @@
     LeaseWithoutMargin,
     /// A permit whose taker's lease has ended is taken for free.
     FreedBySilence,
+    /// A budget is counted before the step that takes, and not looked at in it.
+    CountedBefore,
+    /// The barrier of a drain forgets agents that have never said anything of it.
+    BarrierForgets,
 }
 
-const PLANTED: [(&str, Planted); 6] = [
+const PLANTED: [(&str, Planted); 8] = [
     ("nothing", Planted::Nothing),
     ("ack-before-sync", Planted::AckBeforeSync),
     ("stale-read", Planted::StaleRead),
     ("applied-twice", Planted::AppliedTwice),
     ("lease-without-margin", Planted::LeaseWithoutMargin),
     ("freed-by-silence", Planted::FreedBySilence),
+    ("counted-before", Planted::CountedBefore),
+    ("barrier-forgets", Planted::BarrierForgets),
 ];
 
 fn one_of<T: Copy>(words: &'static [(&'static str, T)]) -> impl Fn(&DeValue<'_>) -> Option<T> {
@@ -254,6 +266,12 @@
     let permits = count(reader, &mut section, "most", (2, 1, 1000));
     reader.end(section);
 
+    let mut section = reader.section(&mut root, "servers");
+    let servers = count(reader, &mut section, "count", (0, 0, 1000));
+    let drainers = count(reader, &mut section, "drainers", (0, 0, 100));
+    let servers_out = count(reader, &mut section, "most_out", (2, 1, 1000));
+    reader.end(section);
+
     let mut section = reader.section(&mut root, "links");
     let one_way = ms(reader, &mut section, "one_way_ms", Absent::Default(1.0));
     let spread = ms(reader, &mut section, "spread_ms", Absent::Default(1.0));
@@ -302,6 +320,9 @@
         watchers: watchers?,
         operators: operators?,
         permits: permits? as u32,
+        servers: servers?,
+        drainers: drainers?,
+        servers_out: servers_out? as u32,
         one_way: one_way?,
         spread: spread?,
         every: every?,
--- a/crates/lab/src/processes/rig.rs
+++ b/crates/lab/src/processes/rig.rs
@@ -475,7 +475,7 @@
                     let mut seen = self.seen.borrow_mut();
                     self.out.borrow_mut().insert(agent.name.clone(), seen.outs.len());
                     let from = self.now();
-                    seen.outs.push(Out { budget, what: agent.name.clone(), from, to: None });
+                    seen.outs.push(Out { budget, what: agent.name.clone(), granted: from, from, to: None });
                 }
                 let down = self.rng.borrow_mut().random_range(100..2000);
                 sleep(Duration::from_millis(down)).await;
--- a/crates/lab/src/processes/world/askers.rs
+++ b/crates/lab/src/processes/world/askers.rs
@@ -53,7 +53,10 @@
         match &self.processes[at].role {
             Role::Agent(_) if which == 0 => self.held(at, settled, pause.unwrap_or(0)),
             Role::Operator(_) if which == 0 => self.held(at, settled, pause.unwrap_or(0)),
+            Role::Agent(_) if which == 2 => self.agent_heard(at, settled),
+            Role::Agent(_) if which == 3 => self.agent_has_said(at, settled),
             Role::Agent(_) => self.agent_told(at, settled),
+            Role::Drainer(_) => self.drainer_told(at, settled),
             Role::Operator(_) => self.operator_told(at, settled),
             Role::Client(_) => self.client_told(at, settled),
             Role::Watcher(_) => self.watcher_told(at, settled),
@@ -115,13 +118,29 @@
         let clock = self.processes[at].clock;
         let askers_at = |process: &Process, which: usize| process.askers[which].due;
         let mut asks: Vec<(usize, Request)> = Vec::new();
-        let free = [0, 1].map(|which| self.processes[at].askers[which].out.is_none());
+        let free: [bool; ASKERS] =
+            std::array::from_fn(|which| self.processes[at].askers[which].out.is_none());
         let (due_0, due_1) = (askers_at(&self.processes[at], 0), askers_at(&self.processes[at], 1));
         let can = [free[0] && now >= due_0, free[1] && now >= due_1];
         if free[0] {
             due = due.min(due_0.max(now + 1));
         }
+        let more = [2, 3].map(|which| free[which] && now >= askers_at(&self.processes[at], which));
         match &mut self.processes[at].role {
+            Role::Agent(_) if self.plan.servers > 0 => {
+                let (next, asked) = self.agent_sends(at, more);
+                due = due.min(next);
+                asks.extend(asked);
+            }
+            _ => {}
+        }
+        match &mut self.processes[at].role {
+            Role::Drainer(drainer) => {
+                due = due.min(drainer.next_at.max(due_0).max(now + 1));
+                if can[0] && now >= drainer.next_at {
+                    asks.extend(self.drainer_asks(at).map(|request| (0, request)));
+                }
+            }
             Role::Agent(agent) => {
                 if now >= agent.ready_at {
                     agent.holder.set_ready(true, local);
--- a/crates/lab/src/processes/world/faults.rs
+++ b/crates/lab/src/processes/world/faults.rs
@@ -69,6 +69,7 @@
                 agent.holder = Holder::new(Self::about(&process.name, &process.site), life_draw, 0);
                 agent.ready_at = now + BOOT;
                 agent.look_at = now;
+                agent.sends = drains::Sends::default();
                 self.wake(at, now);
             }
             _ => self.wake(at, now),
@@ -174,7 +175,8 @@
         let named = fault.who.as_deref().and_then(|who| self.named(who));
         let is_council = |process: &Process| matches!(process.role, Role::Council { .. }) && up(process);
         let is_agent = |process: &Process| matches!(process.role, Role::Agent(_)) && up(process);
-        let is_operator = |process: &Process| matches!(process.role, Role::Operator(_)) && up(process);
+        let is_operator =
+            |process: &Process| matches!(process.role, Role::Operator(_) | Role::Drainer(_)) && up(process);
         // Half of the time it is the leader that is hit.
         let leader = self.leader.and_then(|number| self.numbers.get(&number).copied());
         let leader = leader.filter(|at| up(&self.processes[*at]) && self.rng.random_bool(0.5));
@@ -252,7 +254,10 @@
                 if let Some(at) = named.or_else(|| self.some(is_operator)) {
                     self.kill(at);
                     let name = self.processes[at].name.clone();
-                    self.add_operator(&name);
+                    match self.processes[at].role {
+                        Role::Drainer(_) => self.add_drainer(&name),
+                        _ => self.add_operator(&name),
+                    };
                 }
             }
             Kind::Cut | Kind::OneWay | Kind::Slow | Kind::Hold => {
--- a/crates/lab/src/processes/world/mod.rs
+++ b/crates/lab/src/processes/world/mod.rs
@@ -3,6 +3,7 @@
 
 mod askers;
 mod clients;
+mod drains;
 mod faults;
 mod operators;
 
@@ -36,6 +37,8 @@
 const SETTLE: Micros = 180_000_000;
 /// An agent looks whether a permit is out for itself so often.
 const LOOK: Micros = 1_000_000;
+/// Things that a process asks at the same time: its lease; records; what drains; what it says of that.
+const ASKERS: usize = 4;
 /// Messages that wait for a process that is stopped.
 const INBOX_MOST: usize = 10_000;
 
@@ -174,6 +177,7 @@
     ready_at: Micros,
     belief: Option<Belief>,
     look_at: Micros,
+    sends: drains::Sends,
 }
 
 struct Client {
@@ -214,6 +218,8 @@
     session: u64,
     number: u64,
     asked: Option<Request>,
+    /// When the permit that it has was agreed.
+    granted: Micros,
     next_at: Micros,
 }
 
@@ -227,6 +233,7 @@
     Client(Client),
     Watcher(Watcher),
     Operator(Box<Operator>),
+    Drainer(Box<drains::Drainer>),
     /// Who takes new processes into the council.
     Warden {
         wanted: Vec<(u64, u64, Peer)>,
@@ -240,7 +247,7 @@
     epoch: u32,
     clock: Clock,
     deferred: Vec<Event>,
-    askers: [Asker; 2],
+    askers: [Asker; ASKERS],
     wake_at: Micros,
     role: Role,
 }
@@ -351,6 +358,9 @@
         for n in 0..plan.operators {
             world.add_operator(&format!("o{n}"));
         }
+        for n in 0..plan.drainers {
+            world.add_drainer(&format!("d{n}"));
+        }
         for (number, fault) in plan.listed.iter().enumerate() {
             world.at(fault.at, Event::Fault(number));
         }
@@ -367,7 +377,8 @@
     fn add_agent(&mut self, name: &str, site: &str) -> usize {
         let holder = Holder::new(Self::about(name, site), self.rng.random(), 0);
         let ready_at = self.now + BOOT;
-        let agent = Agent { holder, ready_at, belief: None, look_at: 0 };
+        let sends = drains::Sends::default();
+        let agent = Agent { holder, ready_at, belief: None, look_at: 0, sends };
         self.add(name, site, Role::Agent(Box::new(agent)), Life::Up)
     }
 
@@ -382,6 +393,7 @@
             session: 0,
             number: 0,
             asked: None,
+            granted: 0,
             next_at,
         };
         self.add(name, "", Role::Operator(Box::new(operator)), Life::Up)
@@ -397,7 +409,7 @@
         let clock = Clock { offset: self.rng.random_range(0..1_000_000_000_000), rate };
         let council = self.plan.council;
         let mut asker = || Asker { caller: Caller::new(council, self.rng.random()), out: None, due: 0 };
-        let askers = [asker(), asker()];
+        let askers = [(); ASKERS].map(|()| asker());
         let process = Process {
             name: name.into(),
             site: site.into(),
@@ -472,6 +484,7 @@
                 format!("{} ({:?}, {:?})", process.name, operator.holder.stand(), operator.doing)
             }
             Role::Agent(agent) => format!("{} ({:?})", process.name, agent.holder.stand()),
+            Role::Drainer(drainer) => format!("{} ({drainer:?})", process.name),
             _ => process.name.clone(),
         };
         let names: Vec<String> = late.map(about).collect();
@@ -496,6 +509,7 @@
             }
             Role::Client(client) => client.now.is_none(),
             Role::Operator(operator) => process.life == Life::Down || operator.doing == Doing::Idle,
+            Role::Drainer(drainer) => process.life == Life::Down || drainer.is_idle(),
             Role::Warden { wanted, .. } => wanted.is_empty(),
         }
     }
@@ -680,6 +694,7 @@
                 self.agreed.push((self.now, state.revision));
                 for change in &changes {
                     self.note_end(change);
+                    self.note_undrained(change);
                 }
                 self.outcome.seen.changes.extend(changes);
             } else if self.plan.planted != Planted::AckBeforeSync {
@@ -699,6 +714,15 @@
 
     fn note_end(&mut self, change: &Change) {
         let heronhoist_council::state::Changed::Member(name, Some(member)) = &change.what else { return };
+        if self.plan.servers > 0 && heronhoist_council::state::is_agent(name) {
+            let downs = &mut self.outcome.seen.downs;
+            if let Some(down) = downs.iter_mut().find(|down| down.what == *name && down.to.is_none()) {
+                down.to = member.standing.may_hold().then_some(self.now);
+            } else if member.standing == Standing::Expired {
+                let (budget, what) = (permit::agents_of(&member.site), name.clone());
+                downs.push(super::judge::Down { budget, what, from: self.now, to: None });
+            }
+        }
         if !member.standing.may_hold() {
             self.outcome.seen.ended.entry((name.clone(), member.incarnation)).or_insert(self.now);
         }
--- a/crates/lab/src/processes/world/operators.rs
+++ b/crates/lab/src/processes/world/operators.rs
@@ -1,6 +1,7 @@
 //! Operators, and what agents do about permits.
 
 use super::*;
+use heronhoist_release::budget;
 
 impl World<'_> {
     pub(super) fn agent_told(&mut self, at: usize, response: Option<Response>) {
@@ -24,7 +25,9 @@
             // The same again, under the same number.
             return operator.asked.clone();
         }
-        Some(Request::Read { stale: false, prefix: "budget/".into(), members: true })
+        // Where crashes count, all is read that they are counted by.
+        let prefix = if self.plan.servers > 0 { "" } else { "budget/" };
+        Some(Request::Read { stale: false, prefix: prefix.into(), members: true })
     }
 
     pub(super) fn operator_told(&mut self, at: usize, response: Option<Response>) {
@@ -39,8 +42,10 @@
                 operator.asked = None;
                 operator.next_at = now;
                 match (reply, operator.doing.clone()) {
-                    (Reply::Done(_), Doing::Taking(agent)) => {
+                    (Reply::Done(revision), Doing::Taking(agent)) => {
                         self.outcome.permits += 1;
+                        let agreed = self.agreed.partition_point(|(_, other)| *other < revision);
+                        operator.granted = self.agreed.get(agreed).map_or(now, |(at, _)| *at);
                         operator.doing = Doing::Starting(agent);
                     }
                     (Reply::Done(_), Doing::Starting(agent)) => {
@@ -48,7 +53,8 @@
                         if operator.holder.holds(local) == Some(operator.session) {
                             operator.doing = Doing::Finishing(agent.clone());
                             operator.next_at = now + pause;
-                            self.take_out(&agent);
+                            let granted = operator.granted;
+                            self.take_out(&agent, granted);
                         } else {
                             operator.doing = Doing::Idle;
                         }
@@ -97,13 +103,22 @@
         };
         let mine = permit::of(view, &key, &about).filter(|permit| permit.taker == me);
         let taker = (me.0.as_str(), me.1);
+        let counted = self.plan.servers > 0;
+        let take = || match counted {
+            true => budget::take_agent(view, &key, &about, taker, "kernel"),
+            false => Ok(permit::take(view, &key, &about, taker, "kernel")?),
+        };
         let txn = match (&doing, mine) {
-            (Doing::Idle, _) => match permit::take(view, &key, &about, taker, "kernel") {
+            // Nothing is taken before the rules are there that count the dead.
+            (Doing::Idle, _) if counted && !view.records.contains_key(budget::KEY) => None,
+            (Doing::Idle, _) => match take() {
                 Ok(txn) => {
                     operator.doing = Doing::Taking(about);
                     Some(txn)
                 }
-                Err(Denied::NoBudget(_)) => permit::state_number(view, &key, self.plan.permits).ok(),
+                Err(budget::Denied::Permits(Denied::NoBudget(_))) => {
+                    permit::state_number(view, &key, self.plan.permits).ok()
+                }
                 Err(_) if self.plan.planted == Planted::FreedBySilence => freed_by_silence(view, &key),
                 Err(_) => None,
             },
@@ -124,13 +139,16 @@
             (Doing::Waiting(_), Some(_)) => None,
         };
         match txn {
-            Some(txn) => self.operator_writes(at, txn),
+            Some(txn) => {
+                let txn = self.as_planted(txn);
+                self.operator_writes(at, txn);
+            }
             None => operator.next_at = now + pause,
         }
     }
 
     /// The wrapper's command: the agent's process ends, and is started again after a while, whatever becomes of the wrapper.
-    pub(super) fn take_out(&mut self, name: &str) {
+    pub(super) fn take_out(&mut self, name: &str, granted: Micros) {
         let of_name: Vec<usize> = (0..self.processes.len())
             .filter(|at| {
                 matches!(self.processes[*at].role, Role::Agent(_)) && self.processes[*at].name == name
@@ -141,7 +159,7 @@
         if let Some(process) = process {
             let (budget, what) = (permit::agents_of(&self.processes[process].site), name.to_string());
             let number = self.outcome.seen.outs.len();
-            self.outcome.seen.outs.push(Out { budget, what, from: self.now, to: None });
+            self.outcome.seen.outs.push(Out { budget, what, granted, from: self.now, to: None });
             self.out.insert(name.into(), number);
             of_name.iter().for_each(|at| self.kill(*at));
             self.at(self.now + down, Event::Heal(Heal::Start(process)));
