Let agents tell what they find of servers, and judge drains by processes behind faulty links

Change: each agent keeps one record of what servers lack (silent three times in a row, drained, cold), and the budgets go by the middle of what living agents say; the module is as it was. The rig has record servers, clients of each agent and operators with `heronhoist drain` and `undrain`; each call carries which process of which agent it was made to and when, so that a server tells by itself who sent what.

--- a/crates/agent/src/fleet/member.rs
+++ b/crates/agent/src/fleet/member.rs
@@ -11,8 +11,9 @@
 use heronhoist_council::wire::{Envelope, Request, Response, PROTOCOL};
 use heronhoist_council::Time;
 use heronhoist_release::drain::{self, Listener};
+use heronhoist_release::seen::Seen;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,6 +30,8 @@
 const OUT_LOOK: Duration = Duration::from_millis(500);
 /// How often it is looked whether the agent has become quiet for a server that drains.
 const QUIET_LOOK: Duration = Duration::from_millis(50);
+/// How often it is looked what the agent finds of servers, about.
+const SEEN_LOOK: Duration = Duration::from_secs(1);
 /// Pause before permits are looked at again after something went wrong.
 const PERMIT_PAUSE: Duration = Duration::from_secs(2);
 
@@ -38,6 +41,8 @@
     pub drained: watch::Sender<BTreeSet<String>>,
     /// Whether nothing is out to a server, and nothing will be sent to it while it drains.
     pub is_quiet: Box<dyn Fn(&str) -> bool>,
+    /// What servers lack of what they can do, by name.
+    pub lacks: Box<dyn Fn() -> BTreeMap<String, f64>>,
 }
 
 /// The agent's part in its fleet.
@@ -215,7 +220,7 @@
     /// stands while the council is silent, whether or not the lease is held.
     async fn keep_drains(self: Rc<Self>, drains: Drains) {
         let listener = Rc::new(RefCell::new(Listener::default()));
-        let said = self.say_quiet(&listener, &drains.is_quiet);
+        let said = self.say(&listener, &drains);
         let heard = self.hear_drains(&listener, &drains.drained);
         tokio::join!(said, heard);
     }
@@ -274,27 +279,41 @@
         }
     }
 
-    async fn say_quiet(&self, listener: &RefCell<Listener>, is_quiet: &dyn Fn(&str) -> bool) {
+    /// Has written down for which drains this agent is quiet, and what it finds of servers, whenever that has changed.
+    async fn say(&self, listener: &RefCell<Listener>, drains: &Drains) {
         let mut asker = Asker::new(&self.fleet.council);
         let mut session = (0, 0);
+        let mut seen: Option<Seen> = None;
+        let mut look_at = Instant::now();
         loop {
             sleep(QUIET_LOOK).await;
             let Some(incarnation) = self.holds() else { continue };
-            let Some(quiet) = listener.borrow().to_say(incarnation, is_quiet) else { continue };
+            let quiet = listener.borrow().to_say(incarnation, &drains.is_quiet);
+            let mut news = None;
+            if quiet.is_none() && Instant::now() >= look_at {
+                look_at = Instant::now() + SEEN_LOOK.mul_f64(0.5 + fastrand::f64());
+                news =
+                    Some(Seen::new(incarnation, (drains.lacks)())).filter(|news| seen.as_ref() != Some(news));
+            }
+            let member = &self.fleet.member;
+            let told = quiet.as_ref().map(|quiet| quiet.told(member));
+            let Some(txn) = told.or_else(|| news.as_ref().map(|news| news.told(member))) else { continue };
             // Under the member's own session: what is late from before can't undo what was said after it.
             if session.0 != incarnation {
                 session = (incarnation, 0);
             }
             session.1 += 1;
-            let command = Command::Write(quiet.told(&self.fleet.member));
-            let request = Request::Command(Call { session: Some(session), command });
+            let request = Request::Command(Call { session: Some(session), command: Command::Write(txn) });
             let envelope = self.envelope();
             while self.holds() == Some(incarnation) {
                 match asker.ask(&envelope, &request, DEADLINE).await {
                     Asking::Settled(response) => {
-                        if let Response::Reply(Reply::Done(_), _) = *response {
-                            self.draining.set((self.draining.get().0, quiet.servers.len()));
-                            listener.borrow_mut().said(quiet);
+                        if matches!(*response, Response::Reply(Reply::Done(_), _)) {
+                            if let Some(quiet) = quiet {
+                                self.draining.set((self.draining.get().0, quiet.servers.len()));
+                                listener.borrow_mut().said(quiet);
+                            }
+                            seen = news.or(seen);
                         }
                         break;
                     }
--- a/crates/agent/src/lanes.rs
+++ b/crates/agent/src/lanes.rs
@@ -10,7 +10,7 @@
     Declined, Drainable, Fixed, Levels, List, Member, Membership, Part, Pool, Quota, Setup,
 };
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -132,6 +132,16 @@
         self.drained.replace(Some(drained));
     }
 
+    /// What servers lack of what they can do, by name; the most, where several pools know one.
+    pub fn lacks(&self) -> BTreeMap<String, f64> {
+        let mut lacks = BTreeMap::new();
+        for (name, lack) in self.lanes.borrow().iter().flat_map(|lane| lane.pool.lacks()) {
+            let most = lacks.entry(name).or_insert(lack);
+            *most = lack.max(*most);
+        }
+        lacks
+    }
+
     /// Whether nothing is out to a server, and nothing will be sent to it while it drains.
     pub fn is_quiet(&self, server: &str) -> bool {
         self.closing.borrow_mut().retain(|lane| lane.pool.levels().open > 0);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -122,8 +122,10 @@
     let server = Server::new(serving, Rc::clone(&lanes), Rc::clone(&metrics), budget.clients);
     spawn_local(Rc::clone(&server).sweep());
     let member = config.fleet.as_ref().zip(drained).map(|(fleet, (drained, _))| {
-        let (server, quiet) = (Rc::clone(&server), Rc::clone(&lanes));
-        let drains = Drains { drained, is_quiet: Box::new(move |name| quiet.is_quiet(name)) };
+        let (server, quiet, seen) = (Rc::clone(&server), Rc::clone(&lanes), Rc::clone(&lanes));
+        let (is_quiet, lacks) =
+            (Box::new(move |name: &str| quiet.is_quiet(name)), Box::new(move || seen.lacks()));
+        let drains = Drains { drained, is_quiet, lacks };
         Member::start(fleet, config.ops, move || server.is_ready(), drains)
     });
     if let Some(ops) = config.ops {
--- a/crates/agent/tests/fleet/drains.rs
+++ b/crates/agent/tests/fleet/drains.rs
@@ -1,6 +1,6 @@
 //! Drains of record servers that several agents keep, judged by what the servers were sent.
 
-use crate::processes::{lookup, wait, Fleet, Process, Server};
+use crate::processes::{lookup, nobody, wait, Fleet, Process, Server};
 use heronhoist_council::state::Standing;
 use std::net::SocketAddr;
 
@@ -143,3 +143,33 @@
     });
     assert_eq!(play.servers[0].count(), before);
 }
+
+/// A server that nobody reaches is out, as far as the budgets go, once the agents have found that: no other is drained beside it.
+#[test]
+fn a_server_that_cannot_be_reached_counts_as_out() {
+    let mut play = Play::new("drain-down", &["n1", "n2"]);
+    // The same names to agents of another site, whose s2 is nobody.
+    let named = [("s1", play.servers[0].address), ("s2", nobody())];
+    let others = ["n3", "n4", "n5"].map(|name| play.fleet.agent_of(name, "west", &named));
+    let mut client = play.fleet.client();
+    for (agent, _) in &others {
+        client.living(&agent.name);
+        agent.wait_ready();
+    }
+    play.agents.extend(others);
+    let shown = || play.fleet.tool(&["fleet", "budgets"]).1;
+    assert!(!shown().contains("can't be reached"), "nobody has asked it yet");
+    let mut asked = 10_000;
+    wait("three of five agents find it", || {
+        for (_, front) in &play.agents[2..] {
+            asked += 1;
+            // Answered by the other one.
+            assert_eq!(lookup(*front, asked), Some(200));
+        }
+        shown().contains("s2 (can't be reached)").then_some(())
+    });
+    let denied = play.fleet.tool(&["drain", "server", "s1", "--why", "disk"]);
+    assert!(denied.0 == 3 && denied.1.contains("s2 (can't be reached)"), "{denied:?}");
+    assert_eq!(play.fleet.tool(&["drain", "server", "s1", "--why", "disk", "--over-budget"]).0, 0);
+    play.ask(&[0, 1], 5);
+}
--- a/crates/agent/tests/fleet/processes.rs
+++ b/crates/agent/tests/fleet/processes.rs
@@ -43,6 +43,11 @@
     }
 }
 
+/// An address at which nobody is.
+pub fn nobody() -> SocketAddr {
+    free()
+}
+
 /// One call; status 0 if there was no answer.
 pub fn post(address: SocketAddr, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
     call(address, "POST", path, body).unwrap_or((0, Vec::new()))
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -199,6 +199,8 @@
     requests: Rc<Part>,
     max_attempts: Cell<u32>,
     drain_grace: Cell<Duration>,
+    /// How long servers take to warm up, and the share of what they can do that they have at first.
+    warming: Cell<(Span, f64)>,
     /// What the servers speak that serve.
     dialects: Cell<Dialects>,
 }
@@ -218,6 +220,7 @@
         let Setup { name, settings, seed, names, known, known_stands, epoch, upstream, requests } = setup;
         let max_attempts = Cell::new(settings.max_attempts);
         let drain_grace = Cell::new(settings.drain_grace.into());
+        let warming = Cell::new((settings.warm_after, settings.cold_share));
         let core = Core {
             balancer: Balancer::new(settings, seed)?,
             open: FxHashMap::default(),
@@ -243,6 +246,7 @@
             requests,
             max_attempts,
             drain_grace,
+            warming,
             dialects: Cell::new(Dialects::NONE),
         }));
         let mut actions = Vec::new();
@@ -312,6 +316,21 @@
         (at <= self.0.clock.now()).then(|| core.timers.pop().map(|Reverse((_, id))| TimerId(id)))?
     }
 
+    /// What servers lack of what they can do, as far as can be told from here, from 0 to 1; those that lack nothing are left out.
+    pub fn lacks(&self) -> Vec<(String, f64)> {
+        let ((warm_after, cold), now) = (self.0.warming.get(), self.0.clock.now());
+        let cold = cold.min(1.0);
+        let warmth = |started: Time| {
+            let part = now.since(started).ms() / warm_after.ms();
+            if part < 1.0 {
+                cold + (1.0 - cold) * part
+            } else {
+                1.0
+            }
+        };
+        self.0.core.borrow().servers.lacks(warmth)
+    }
+
     /// Whether nothing is out to the server of this name, and nothing will be sent to it until a list says that it serves.
     pub fn is_quiet(&self, server: &str) -> bool {
         self.0.core.borrow().servers.is_quiet(server, self.0.drain_grace.get())
@@ -347,6 +366,7 @@
     pub fn revise(&self, settings: Settings, classes: Vec<ClassId>, zones: &[String]) {
         self.0.max_attempts.set(settings.max_attempts);
         self.0.drain_grace.set(settings.drain_grace.into());
+        self.0.warming.set((settings.warm_after, settings.cold_share));
         // The list's lines are numbered as the first settings named the zones.
         let zone =
             zones.get(settings.zone.0 as usize).map(|name| self.0.core.borrow_mut().servers.zone(name));
@@ -574,7 +594,7 @@
             let ended = match place {
                 Some(place) => {
                     let ended = pool.attempt(place, &call, until, budget, cancelled).await;
-                    pool.0.core.borrow_mut().servers.leave(server);
+                    pool.0.core.borrow_mut().servers.leave(server, ended.outcome);
                     ended
                 }
                 None => Outcome::NotSent.into(),
@@ -633,7 +653,7 @@
             let ended = match place {
                 Some(place) => {
                     let ended = pool.0.upstream.probe(place).await;
-                    pool.0.core.borrow_mut().servers.leave(server);
+                    pool.0.core.borrow_mut().servers.leave(server, ended.outcome);
                     ended
                 }
                 // The module waits for an answer to each probe.
--- a/crates/engine/src/servers.rs
+++ b/crates/engine/src/servers.rs
@@ -2,7 +2,7 @@
 
 use crate::membership::{List, Member, State};
 use crate::upstream::Place;
-use heronhoist_decision::{CellId, Dialects, KindId, Listed, ServerId, Status, Time, ZoneId};
+use heronhoist_decision::{CellId, Dialects, KindId, Listed, Outcome, ServerId, Status, Time, ZoneId};
 use rustc_hash::FxHashMap;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -12,6 +12,8 @@
 const DRAIN_RESERVE: Duration = Duration::from_millis(100);
 /// Servers that a pool knows at any time, those that have just left among them. Lines beyond are left out, and told in the log.
 pub const SERVERS_MOST: usize = 4096;
+/// A server that was silent so often in a row can't be reached, as far as can be told from here.
+const SILENT: u32 = 3;
 /// Names of zones or kinds that have a number of their own.
 const NAMES_MOST: u32 = 1000;
 
@@ -34,6 +36,8 @@
     started: Option<Time>,
     /// Attempts and probes that are out to it.
     out: usize,
+    /// Those that have ended without a word from it, since its last one.
+    silent: u32,
 }
 
 /// Numbers for names, in the order in which they are met; the settings' names come first.
@@ -122,13 +126,32 @@
         })
     }
 
-    /// An attempt or a probe is no longer out.
-    pub(crate) fn leave(&mut self, server: ServerId) {
+    /// An attempt or a probe is no longer out, and this came of it.
+    pub(crate) fn leave(&mut self, server: ServerId, outcome: Outcome) {
         if let Some(server) = self.servers.get_mut(&server) {
             server.out = server.out.saturating_sub(1);
+            match outcome {
+                Outcome::Success | Outcome::ServerError | Outcome::Rejected => server.silent = 0,
+                Outcome::TimedOut | Outcome::ConnectFailed | Outcome::ConnectionReset => {
+                    server.silent = server.silent.saturating_add(1);
+                }
+                Outcome::Cancelled | Outcome::NotSent => {}
+            }
         }
     }
 
+    /// What servers that have not left lack of what they can do, from 0 to 1; those that lack nothing are left out. One that drains, or
+    /// was silent several times in a row, lacks all; a cold one what `warmth` says of the time since it started.
+    pub(crate) fn lacks(&self, warmth: impl Fn(Time) -> f64) -> Vec<(String, f64)> {
+        let known = self.ids.iter().filter_map(|(name, id)| Some((name, self.servers.get(id)?)));
+        let lack = |server: &Server<A>| match server.serving && server.silent < SILENT {
+            true => server.started.map_or(0.0, |started| 1.0 - warmth(started)),
+            false => 1.0,
+        };
+        let lacks = known.filter(|(_, server)| !server.gone).map(|(name, server)| (name, lack(server)));
+        lacks.filter(|(_, lack)| *lack > 0.0).map(|(name, lack)| (name.clone(), lack)).collect()
+    }
+
     /// Drops the servers that have left for good: the grace is over, and nothing is out to them. Servers that are
     /// replaced under ever new names would fill the memory.
     pub(crate) fn forget(&mut self, after: Duration) {
@@ -185,14 +208,14 @@
         let server = self.servers.entry(id).or_insert_with(|| {
             let place =
                 Place { server: id, address: member.address.clone(), life: 0, dialect: member.dialect };
-            Server { place, serving: false, gone: false, off_since: None, started, out: 0 }
+            Server { place, serving: false, gone: false, off_since: None, started, out: 0, silent: 0 }
         });
         let moved = server.place.address != member.address || server.place.dialect != member.dialect;
         if moved || server.started != started {
             // Another process: connections to the one before lead nowhere. What is in flight ends as it began.
             let (dialect, life) = (member.dialect, server.place.life + 1);
             server.place = Place { server: id, address: member.address, life, dialect };
-            server.started = started;
+            (server.started, server.silent) = (started, 0);
             cut(id);
         }
         server.gone = member.state == State::Gone;
@@ -296,11 +319,45 @@
         servers.take(List { version: 5, whole: true, members: vec![] }, |_| {});
         servers.forget(Duration::ZERO);
         assert!(servers.enter(id).is_some(), "something is out to it");
-        (0..2).for_each(|_| servers.leave(id));
+        (0..2).for_each(|_| servers.leave(id, Outcome::Cancelled));
         servers.forget(Duration::ZERO);
         assert!(servers.enter(id).is_none() && !servers.may_send(id, grace));
     }
 
+    /// Quiet is who has nothing out and is past the grace; what a server lacks is told by its silence, its drain and its start.
+    #[tokio::test(start_paused = true)]
+    async fn who_is_quiet_and_what_servers_lack() {
+        let mut servers = Servers::new(&ServerNames::default());
+        let list = |version, state| {
+            let members = vec![Member { state, ..Member::serving("s", 80) }, Member::serving("t", 81)];
+            List { version, whole: true, members }
+        };
+        let id = servers.take(list(1, State::Serving), |_| {})[0].server;
+        let (grace, warm) = (Duration::from_millis(500), |_| 0.25);
+        assert!(servers.is_quiet("unknown", grace) && !servers.is_quiet("s", grace));
+        for (outcome, lacks) in [
+            (Outcome::TimedOut, 0),
+            (Outcome::ConnectFailed, 0),
+            (Outcome::Cancelled, 0),
+            (Outcome::ConnectionReset, 1),
+            (Outcome::Rejected, 0),
+        ] {
+            servers.enter(id);
+            servers.leave(id, outcome);
+            assert_eq!(servers.lacks(warm).len(), lacks, "{outcome:?}");
+        }
+        servers.enter(id);
+        servers.take(list(2, State::Draining), |_| {});
+        tokio::time::advance(grace).await;
+        assert!(!servers.is_quiet("s", grace), "something is out");
+        servers.leave(id, Outcome::Success);
+        assert!(servers.is_quiet("s", grace));
+        assert_eq!(servers.lacks(warm), [("s".to_string(), 1.0)]);
+        let started = Member { started: Some(Time(7)), ..Member::serving("s", 80) };
+        servers.take(List { version: 3, whole: false, members: vec![started] }, |_| {});
+        assert_eq!(servers.lacks(warm), [("s".to_string(), 0.75)]);
+    }
+
     #[test]
     fn names_past_the_bound_share_a_number() {
         let mut numbers = Numbers::new(&["a".into(), "b".into()]);
--- a/crates/lab/src/processes/judge.rs
+++ b/crates/lab/src/processes/judge.rs
@@ -92,7 +92,7 @@
     pub to: Option<Micros>,
 }
 
-/// When a member's lease had ended and no newer process of its name had joined, by the council's count.
+/// When an agent was not living and able to serve, as far as the council knew.
 #[derive(Debug, Clone)]
 pub struct Down {
     /// Under which budget it counts.
@@ -101,7 +101,7 @@
     pub what: String,
     /// From when,
     pub from: Micros,
-    /// to when it had joined again.
+    /// to when it could serve again.
     pub to: Option<Micros>,
 }
 
--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -141,6 +141,11 @@
             outcome.ended,
             outcome.seen.watched.iter().map(|watched| watched.stretches.len()).sum::<usize>()
         );
+        if plan.servers > 0 {
+            let (answered, others) = outcome.calls;
+            let drains = outcome.seen.opened.len();
+            let _ = write!(line, "{drains} drains came to stand, {answered} calls answered, {others} not, ");
+        }
         line += &verdict(&wrongs);
         say(&line);
         broken += usize::from(!wrongs.is_empty());
--- a/crates/lab/src/processes/rig.rs
+++ b/crates/lab/src/processes/rig.rs
@@ -1,6 +1,8 @@
 //! Real mode: council processes, agents and operators' wrappers of the program, each behind a proxy, with faults of links and
 //! processes. What is judged is what clients were answered, what agents say of their leases, and who was out when.
 
+mod servers;
+
 use super::judge::{Done, Op, Out, Seen, Watched};
 use super::links::{Does, Links};
 use super::plan::{Kind, Plan};
@@ -50,6 +52,8 @@
     pub looks: usize,
     /// Processes that ended by themselves, since their disks were not what they had been.
     pub ended: usize,
+    /// Calls of clients that had an answer of a record server, and others.
+    pub calls: (u64, u64),
 }
 
 struct Process {
@@ -59,6 +63,8 @@
     child: RefCell<Option<Child>>,
     /// It is stopped, or down on purpose: nobody starts it but the fault that did it.
     held: Cell<bool>,
+    /// How often it was started.
+    starts: Cell<u64>,
     /// Where it listens, or operators call.
     address: SocketAddr,
 }
@@ -87,6 +93,7 @@
         let id = child.id().unwrap_or(0);
         let _ = std::fs::write(self.log.with_extension("pid"), id.to_string());
         *self.child.borrow_mut() = Some(child);
+        self.starts.set(self.starts.get() + 1);
         Ok(())
     }
 
@@ -119,6 +126,11 @@
     council: Vec<Rc<Process>>,
     agents: Vec<Rc<Process>>,
     proxies: Vec<SocketAddr>,
+    /// Where the agents' clients call.
+    fronts: Vec<SocketAddr>,
+    /// Where record servers listen, until they serve.
+    listeners: RefCell<Vec<(String, TcpListener)>>,
+    calls: servers::Calls,
     begun: Instant,
     healed: Cell<bool>,
     seen: RefCell<Seen>,
@@ -283,7 +295,8 @@
             let arguments = vec![command.into(), "--config".into(), file.to_string_lossy().into()];
             let (child, held, log) =
                 (RefCell::new(None), Cell::new(false), folder.join(format!("{name}.log")));
-            Rc::new(Process { name, arguments, log, child, held, address })
+            let starts = Cell::new(0);
+            Rc::new(Process { name, arguments, log, child, held, starts, address })
         };
         let election = plan.tick as f64 / 1e3 * 10.0;
         let mut council = Vec::new();
@@ -304,14 +317,27 @@
             council.push(process(format!("c{n}"), file, "council", *listen));
         }
         let list: Vec<String> = proxies.iter().map(|proxy| format!("\"{proxy}\"")).collect();
-        let mut agents = Vec::new();
+        let mut listeners = Vec::new();
+        let mut servers = Vec::new();
+        for n in 0..plan.servers {
+            let listener = TcpListener::bind(free().await.map_err(fault)?).await.map_err(fault)?;
+            let address = listener.local_addr().map_err(fault)?;
+            servers.push(format!("{{ name = \"s{n}\", address = \"{address}\" }}"));
+            listeners.push((format!("s{n}"), listener));
+        }
+        if servers.is_empty() {
+            let nobody = free().await.map_err(fault)?;
+            servers.push(format!("{{ name = \"s0\", address = \"{nobody}\" }}"));
+        }
+        let servers = servers.join(", ");
+        let (mut agents, mut fronts) = (Vec::new(), Vec::new());
         for n in 0..plan.agents {
-            let [front, ops, server] =
-                [free().await.map_err(fault)?, free().await.map_err(fault)?, free().await.map_err(fault)?];
+            let [front, ops] = [free().await.map_err(fault)?, free().await.map_err(fault)?];
+            fronts.push(front);
             let text = format!(
                 "[ops]\nlisten = \"{ops}\"\n[[class]]\nname = \"lookup\"\neffect = \"idempotent\"\naim_ms = 200\n\
                  deadline_ms = 1000\n[[pool]]\nname = \"records\"\nmembership = \"static\"\n\
-                 server = [{{ name = \"s1\", address = \"{server}\" }}]\n[[front]]\nname = \"desk\"\nlisten = \"{front}\"\n\
+                 server = [{servers}]\n[[front]]\nname = \"desk\"\nlisten = \"{front}\"\n\
                  [fleet]\nname = \"{FLEET}\"\nmember = \"a{n}\"\nsite = \"site{}\"\ncouncil = [{}]\n",
                 n % plan.sites,
                 list.join(", ")
@@ -328,6 +354,9 @@
             council,
             agents,
             proxies,
+            fronts,
+            listeners: RefCell::new(listeners),
+            calls: servers::Calls::default(),
             begun: Instant::now(),
             healed: Cell::new(false),
             seen: RefCell::default(),
@@ -352,7 +381,24 @@
         self.seen.borrow_mut().wrongs.push(what);
     }
 
+    /// States how much may be out, with the program's own command.
+    async fn state_budgets(&self) -> Result<(), String> {
+        let mut text =
+            format!("[[budget]]\nof = \"servers\"\nby = \"all\"\nmost = {}\n", self.plan.servers_out);
+        text += &format!("[[budget]]\nof = \"agents\"\nby = \"site\"\nmost = {}\n", self.plan.permits);
+        for n in 0..self.plan.servers {
+            text += &format!("[[server]]\nname = \"s{n}\"\nsite = \"site{}\"\n", n % self.plan.sites);
+        }
+        let file = self.folder.join("budgets.toml");
+        std::fs::write(&file, text).map_err(|e| e.to_string())?;
+        match self.tool(&["fleet", "budgets", &file.to_string_lossy()]).await {
+            Some(0) => Ok(()),
+            other => Err(format!("the budgets were not taken: {other:?}")),
+        }
+    }
+
     async fn run(self: Rc<Self>) -> Result<Outcome, String> {
+        self.serve();
         for process in self.council.iter().chain(&self.agents) {
             process.start(&self.program)?;
         }
@@ -367,6 +413,9 @@
                 self.tool(&["fleet", "permits", "--site", &site, "--most", &most]).await;
             }
         }
+        if self.plan.servers > 0 {
+            self.state_budgets().await?;
+        }
         let mut tasks: Vec<JoinHandle<()>> = Vec::new();
         for agent in &self.agents {
             tasks.push(spawn_local(Rc::clone(&self).look_after(Rc::clone(agent))));
@@ -378,13 +427,18 @@
             (0..self.plan.clients).map(|n| spawn_local(Rc::clone(&self).client(n))).collect();
         let operators: Vec<JoinHandle<()>> =
             (0..self.plan.operators).map(|_| spawn_local(Rc::clone(&self).operator())).collect();
+        let callers = if self.plan.servers > 0 { self.agents.len() } else { 0 };
+        let callers: Vec<JoinHandle<()>> =
+            (0..callers).map(|n| spawn_local(Rc::clone(&self).call_agent(n))).collect();
+        let drainers: Vec<JoinHandle<()>> =
+            (0..self.plan.drainers).map(|n| spawn_local(Rc::clone(&self).drainer(n))).collect();
         self.chaos().await;
         self.healed.set(true);
         self.links.clear();
         for process in self.council.iter().chain(&self.agents) {
             process.signal(Signal::CONT);
         }
-        for client in clients.into_iter().chain(operators) {
+        for client in clients.into_iter().chain(operators).chain(callers).chain(drainers) {
             let _ = client.await;
         }
         self.come_right(&mut asker).await;
@@ -395,11 +449,21 @@
         endings.abort();
         tasks.iter().for_each(JoinHandle::abort);
         self.last_look(&mut asker).await;
-        let seen = self.seen.take();
+        let mut seen = self.seen.take();
+        seen.sent = self.sent();
         let settled = seen.done.iter().filter(|done| done.returned.is_some()).count();
         let permits = seen.outs.len();
         let (unknown, faults, looks) = (self.unknown.get(), self.faults.get(), self.looks.get());
-        Ok(Outcome { settled, unknown, faults, permits, looks, ended: self.ended.get(), seen })
+        Ok(Outcome {
+            settled,
+            unknown,
+            faults,
+            permits,
+            looks,
+            ended: self.ended.get(),
+            calls: self.calls.answered(),
+            seen,
+        })
     }
 
     /// Everybody takes part again, and there is one state.
@@ -483,7 +547,7 @@
                     self.wrong(why);
                 }
             }
-            let known = self.endings.borrow().clone();
+            let (known, process) = (self.endings.borrow().clone(), agent.starts.get());
             let Some((_, page)) = http(agent.address, "GET", "/-/metrics", b"").await else { continue };
             let page = String::from_utf8_lossy(&page).into_owned();
             let figure = |name: &str| {
@@ -497,6 +561,9 @@
                 continue;
             };
             self.looks.set(self.looks.get() + 1);
+            if held && agent.starts.get() == process {
+                self.calls.holds(&agent.name, incarnation, process);
+            }
             if let Some(at) = known.get(&(agent.name.clone(), incarnation)).filter(|_| held) {
                 self.wrong(format!("{} {incarnation} holds a lease that was seen ended at {at}", agent.name));
             }
--- a/crates/lab/src/processes/world/faults.rs
+++ b/crates/lab/src/processes/world/faults.rs
@@ -124,7 +124,7 @@
                     link.held = link.held.saturating_sub(1);
                     if link.held == 0 {
                         for parcel in std::mem::take(&mut link.queue) {
-                            self.at(self.now + 1, Event::Deliver(from, to, parcel));
+                            self.at(self.now + 1, Event::Deliver(from, to, Box::new(parcel)));
                         }
                     }
                 }
--- a/crates/lab/src/processes/world/mod.rs
+++ b/crates/lab/src/processes/world/mod.rs
@@ -139,7 +139,7 @@
 
 enum Event {
     Tick(usize, u32),
-    Deliver(usize, usize, Parcel),
+    Deliver(usize, usize, Box<Parcel>),
     Wake(usize, u32),
     GivenUp(usize, u32, u64),
     Chaos,
@@ -551,7 +551,7 @@
                 let rate = self.processes[at].clock.rate;
                 self.at(self.now + (self.plan.tick as f64 / rate) as Micros, Event::Tick(at, epoch));
             }
-            Event::Deliver(from, to, parcel) => self.deliver(from, to, parcel),
+            Event::Deliver(from, to, parcel) => self.deliver(from, to, *parcel),
             Event::Wake(at, epoch) => {
                 let process = &mut self.processes[at];
                 if process.epoch != epoch || process.wake_at > self.now {
@@ -619,7 +619,7 @@
             return;
         }
         let late = if link.late == 0 { 0 } else { self.rng.random_range(link.late / 2..=link.late) };
-        self.at(self.now + self.plan.one_way + spread + late, Event::Deliver(from, to, parcel));
+        self.at(self.now + self.plan.one_way + spread + late, Event::Deliver(from, to, Box::new(parcel)));
     }
 
     fn deliver(&mut self, from: usize, to: usize, parcel: Parcel) {
@@ -628,7 +628,7 @@
             Life::Stopped => {
                 let deferred = &mut self.processes[to].deferred;
                 if deferred.len() < INBOX_MOST {
-                    deferred.push(Event::Deliver(from, to, parcel));
+                    deferred.push(Event::Deliver(from, to, Box::new(parcel)));
                 }
                 return;
             }
@@ -716,11 +716,14 @@
         let heronhoist_council::state::Changed::Member(name, Some(member)) = &change.what else { return };
         if self.plan.servers > 0 && heronhoist_council::state::is_agent(name) {
             let downs = &mut self.outcome.seen.downs;
-            if let Some(down) = downs.iter_mut().find(|down| down.what == *name && down.to.is_none()) {
-                down.to = member.standing.may_hold().then_some(self.now);
-            } else if member.standing == Standing::Expired {
-                let (budget, what) = (permit::agents_of(&member.site), name.clone());
-                downs.push(super::judge::Down { budget, what, from: self.now, to: None });
+            let serves = member.standing == Standing::Living && member.ready;
+            match downs.iter_mut().find(|down| down.what == *name && down.to.is_none()) {
+                Some(down) => down.to = serves.then_some(self.now),
+                None if serves => {}
+                None => {
+                    let (budget, what) = (permit::agents_of(&member.site), name.clone());
+                    downs.push(super::judge::Down { budget, what, from: self.now, to: None });
+                }
             }
         }
         if !member.standing.may_hold() {
