Measure how far operators go who agree on nothing, beside those who do

Need: what agreement is worth was not shown. Change: a planted kind in which each operator takes out what it wants, and the most that was out at once in every run's last lines.

--- a/crates/lab/src/processes/judge.rs
+++ b/crates/lab/src/processes/judge.rs
@@ -281,6 +281,23 @@
     wrongs
 }
 
+/// The most record servers that might stop at once, and the most agents of one site that were out by permits.
+pub fn most_out(seen: &Seen) -> (usize, usize) {
+    type Stretch<'s> = (&'s str, &'s str, Micros, Option<Micros>);
+    let most = |all: Vec<Stretch<'_>>| {
+        let at = |(group, _, at, _): &Stretch<'_>| {
+            let with = all
+                .iter()
+                .filter(|(other, _, from, to)| other == group && from <= at && to.is_none_or(|to| to > *at));
+            with.map(|(_, what, _, _)| *what).collect::<std::collections::BTreeSet<_>>().len()
+        };
+        all.iter().map(at).max().unwrap_or(0)
+    };
+    let servers = seen.opened.iter().map(|one| ("", one.server.as_str(), one.from, one.to)).collect();
+    let agents = seen.outs.iter().map(|o| (o.budget.as_str(), o.what.as_str(), o.from, o.to)).collect();
+    (most(servers), most(agents))
+}
+
 /// When a permit is agreed, what is out by permits and who is down, as far as the council knows, are together no more than is
 /// stated; one that is down itself takes nothing more.
 fn counted_with_the_dead(outs: &[Out], downs: &[Down], permits: u32) -> Vec<String> {
--- a/crates/lab/src/processes/mod.rs
+++ b/crates/lab/src/processes/mod.rs
@@ -64,7 +64,7 @@
 ) -> bool {
     let count = seeds.end() - seeds.start() + 1;
     let (mut broken, mut played) = (0, 0);
-    let mut sums = [0usize; 6];
+    let (mut sums, mut most) = ([0usize; 6], (0, 0));
     let mut leaderless: Vec<f64> = Vec::new();
     let many = count > 5;
     simulate(plan, seeds, threads, |one| {
@@ -80,6 +80,8 @@
         ];
         sums.iter_mut().zip(figures).for_each(|(sum, figure)| *sum += figure);
         leaderless.extend(outcome.leaderless);
+        let out = judge::most_out(&outcome.seen);
+        most = (most.0.max(out.0), most.1.max(out.1));
         if !many || !wrongs.is_empty() {
             let mut line = format!(
                 "seed {seed}: {} operations, {} of unknown outcome, {} faults, {} leaders, {} permits, digest {:016x}: ",
@@ -111,6 +113,12 @@
         part(0.5), part(0.9), part(0.99), leaderless.len(),
         if broken == 0 && played == count { "all that must hold held".into() } else { format!("NOT all held: {broken} seeds broken") }
     ));
+    if plan.servers > 0 {
+        say(&format!(
+            "most out at once: {} servers that might stop, {} agents of a site by permits",
+            most.0, most.1
+        ));
+    }
     broken == 0 && played == count
 }
 
--- a/crates/lab/src/processes/plan.rs
+++ b/crates/lab/src/processes/plan.rs
@@ -162,9 +162,11 @@
     CountedBefore,
     /// The barrier of a drain forgets agents that have never said anything of it.
     BarrierForgets,
+    /// Operators agree on nothing: each takes out what it wants.
+    Alone,
 }
 
-const PLANTED: [(&str, Planted); 8] = [
+const PLANTED: [(&str, Planted); 9] = [
     ("nothing", Planted::Nothing),
     ("ack-before-sync", Planted::AckBeforeSync),
     ("stale-read", Planted::StaleRead),
@@ -173,6 +175,7 @@
     ("freed-by-silence", Planted::FreedBySilence),
     ("counted-before", Planted::CountedBefore),
     ("barrier-forgets", Planted::BarrierForgets),
+    ("alone", Planted::Alone),
 ];
 
 fn one_of<T: Copy>(words: &'static [(&'static str, T)]) -> impl Fn(&DeValue<'_>) -> Option<T> {
--- a/crates/lab/src/processes/world/drains.rs
+++ b/crates/lab/src/processes/world/drains.rs
@@ -222,7 +222,7 @@
                 };
                 if own.is_none() && !healed {
                     let new = Drain { number, by: name.clone(), why: "disk".into() };
-                    match drain::enter(view, &server, new, false) {
+                    match drain::enter(view, &server, new, self.plan.planted == Planted::Alone) {
                         Ok(entering) => {
                             txn = Some(entering);
                             doing = Draining::Entering;
--- a/crates/lab/src/processes/world/operators.rs
+++ b/crates/lab/src/processes/world/operators.rs
@@ -103,7 +103,9 @@
         };
         let mine = permit::of(view, &key, &about).filter(|permit| permit.taker == me);
         let taker = (me.0.as_str(), me.1);
-        let counted = self.plan.servers > 0;
+        let alone = self.plan.planted == Planted::Alone;
+        let counted = self.plan.servers > 0 && !alone;
+        let permits = if alone { u32::MAX } else { self.plan.permits };
         let take = || match counted {
             true => budget::take_agent(view, &key, &about, taker, "kernel"),
             false => Ok(permit::take(view, &key, &about, taker, "kernel")?),
@@ -117,7 +119,7 @@
                     Some(txn)
                 }
                 Err(budget::Denied::Permits(Denied::NoBudget(_))) => {
-                    permit::state_number(view, &key, self.plan.permits).ok()
+                    permit::state_number(view, &key, permits).ok()
                 }
                 Err(_) if self.plan.planted == Planted::FreedBySilence => freed_by_silence(view, &key),
                 Err(_) => None,
