--- a/crates/agent/src/fleet/drain.rs
+++ b/crates/agent/src/fleet/drain.rs
@@ -3,7 +3,7 @@
 
 use super::tools::{Client, Where};
 use clap::Subcommand;
-use heronhoist_config::reader::{tables, text, whole, Absent, Reader, Section};
+use heronhoist_config::reader::{one_of, tables, text, whole, Absent, Reader, Section};
 use heronhoist_config::Fault;
 use heronhoist_council::wire::View;
 use heronhoist_release::budget::{self, By, Count, Group, Most, Rule, Rules, Senseless, Server, Sort};
@@ -124,7 +124,10 @@
     let mut told = String::new();
     loop {
         // A council that is silent for a while opens nothing: it is asked on.
-        let Ok(view) = client.read("").await else { continue };
+        let Ok(view) = client.read("").await else {
+            sleep(LOOK_EVERY).await;
+            continue;
+        };
         let barrier = drain::barrier(&view, name).map_err(unreadable)?;
         let Some(barrier) = barrier.filter(|barrier| barrier.drain.number == number) else {
             return Err((DENIED, format!("the drain of {name} was taken back by another")));
@@ -233,13 +236,6 @@
 const SORTS: [(&str, Sort); 2] = [("agents", Sort::Agents), ("servers", Sort::Servers)];
 const BYS: [(&str, By); 4] = [("all", By::All), ("site", By::Site), ("kind", By::Kind), ("cell", By::Cell)];
 
-fn one_of<T: Copy>(words: &'static [(&'static str, T)]) -> impl Fn(&DeValue<'_>) -> Option<T> {
-    move |value| {
-        let word = text(value)?;
-        words.iter().find(|(name, _)| *name == word).map(|(_, meaning)| *meaning)
-    }
-}
-
 fn most(value: &DeValue<'_>) -> Option<Most> {
     if let Some(number) = whole(value) {
         return u32::try_from(number).ok().map(Most::Number);
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -159,6 +159,14 @@
     }
 }
 
+/// What one of these words stands for.
+pub fn one_of<T: Copy>(words: &'static [(&'static str, T)]) -> impl Fn(&DeValue<'_>) -> Option<T> {
+    move |value| {
+        let word = text(value)?;
+        words.iter().find(|(name, _)| *name == word).map(|(_, meaning)| *meaning)
+    }
+}
+
 /// One text, or a list of them.
 pub fn texts(value: &DeValue<'_>) -> Option<Vec<String>> {
     match value {
--- a/crates/lab/src/processes/plan.rs
+++ b/crates/lab/src/processes/plan.rs
@@ -2,7 +2,7 @@
 //! fault of a file is told with its place.
 
 use crate::world::Micros;
-use heronhoist_config::reader::{flag, number, tables, text, texts, whole, Absent, Reader, Section};
+use heronhoist_config::reader::{flag, number, one_of, tables, text, texts, whole, Absent, Reader, Section};
 use heronhoist_config::Fault;
 use heronhoist_council::lease::Terms;
 use toml::de::DeValue;
@@ -178,13 +178,6 @@
     ("alone", Planted::Alone),
 ];
 
-fn one_of<T: Copy>(words: &'static [(&'static str, T)]) -> impl Fn(&DeValue<'_>) -> Option<T> {
-    move |value| {
-        let word = text(value)?;
-        words.iter().find(|(name, _)| *name == word).map(|(_, meaning)| *meaning)
-    }
-}
-
 fn words<T>(words: &[(&str, T)]) -> String {
     words.iter().map(|(name, _)| *name).collect::<Vec<_>>().join(", ")
 }
