Let the drain's listener follow the records itself, in the agent and in the lab

What to ask about drains next, and what an answer means, stood in the agent's task and again in the lab's agent: it is the listener's now, in crates/release, so that the lab plays the very code the agent runs. The lab's draw of a process, its question whether a disk may be lost and its due times stood twice; the rig let a process go in two places.

--- a/crates/agent/src/fleet/member.rs
+++ b/crates/agent/src/fleet/member.rs
@@ -10,7 +10,7 @@
 use heronhoist_council::state::{Call, Command, Reply};
 use heronhoist_council::wire::{Envelope, Request, Response, PROTOCOL};
 use heronhoist_council::Time;
-use heronhoist_release::drain::{self, Listener};
+use heronhoist_release::drain::Listener;
 use heronhoist_release::seen::Seen;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -219,7 +219,7 @@
     /// Hears which servers the fleet has agreed to drain, and says for which of them this agent has become quiet. What was heard last
     /// stands while the council is silent, whether or not the lease is held.
     async fn keep_drains(self: Rc<Self>, drains: Drains) {
-        let listener = Rc::new(RefCell::new(Listener::default()));
+        let listener = RefCell::new(Listener::default());
         let said = self.say(&listener, &drains);
         let heard = self.hear_drains(&listener, &drains.drained);
         tokio::join!(said, heard);
@@ -227,58 +227,38 @@
 
     async fn hear_drains(&self, listener: &RefCell<Listener>, drained: &watch::Sender<BTreeSet<String>>) {
         let mut asker = Asker::new(&self.fleet.council);
-        // Where it goes on watching: the history and revision of what was read.
-        let mut stands: Option<(u64, u64)> = None;
         loop {
             let envelope = self.envelope();
-            let request = match stands {
-                Some((history, after)) => Request::Watch { history, after, prefix: drain::PREFIX.into() },
-                None => Request::Read { stale: false, prefix: drain::PREFIX.into(), members: false },
-            };
-            let within = if stands.is_some() { WATCH_WAIT + DEADLINE } else { DEADLINE };
-            let pause = match asker.ask(&envelope, &request, within).await {
-                Asking::Settled(response) => match *response {
-                    Response::Read(view) => {
-                        stands = Some((view.history, view.revision));
-                        let mut listener = listener.borrow_mut();
-                        match listener.hears(&view) {
-                            Ok(()) => {
-                                let servers = listener.drained();
-                                self.draining.set((servers.len(), self.draining.get().1));
-                                drained.send_if_modified(|old| {
-                                    let changed = *old != servers;
-                                    if changed {
-                                        let list = servers.iter().cloned().collect::<Vec<_>>().join(", ");
-                                        tracing::info!(servers = list, "the fleet has agreed on what drains");
-                                    }
-                                    *old = servers;
-                                    changed
-                                });
-                            }
-                            Err(why) => tracing::error!("the drains stay as they were: {why}"),
-                        }
-                        0
-                    }
-                    Response::Changes { changes, upto } if changes.is_empty() => {
-                        stands = stands.map(|(history, _)| (history, upto));
-                        0
-                    }
-                    // Something has changed, or the watch does not reach back far enough: all is read again.
-                    _ => {
-                        stands = None;
-                        0
-                    }
-                },
-                // Another process may not know what this one did: it is asked for all. Nothing that was heard is taken back.
-                Asking::Again(pause, _) => {
-                    stands = None;
-                    pause
-                }
+            let request = listener.borrow().asks();
+            let watches = matches!(request, Request::Watch { .. });
+            let within = if watches { WATCH_WAIT + DEADLINE } else { DEADLINE };
+            let (response, pause) = match asker.ask(&envelope, &request, within).await {
+                Asking::Settled(response) => (Some(*response), 0),
+                Asking::Again(pause, _) => (None, pause),
             };
+            let heard = listener.borrow_mut().hears(response.as_ref());
+            match heard {
+                Ok(true) => self.told_of_drains(listener.borrow().drained(), drained),
+                Ok(false) => {}
+                Err(why) => tracing::error!("the drains stay as they were: {why}"),
+            }
             sleep(Duration::from_micros(pause.max(1000))).await;
         }
     }
 
+    fn told_of_drains(&self, servers: BTreeSet<String>, drained: &watch::Sender<BTreeSet<String>>) {
+        self.draining.set((servers.len(), self.draining.get().1));
+        drained.send_if_modified(|old| {
+            let changed = *old != servers;
+            if changed {
+                let list = servers.iter().cloned().collect::<Vec<_>>().join(", ");
+                tracing::info!(servers = list, "the fleet has agreed on what drains");
+            }
+            *old = servers;
+            changed
+        });
+    }
+
     /// Has written down for which drains this agent is quiet, and what it finds of servers, whenever that has changed.
     async fn say(&self, listener: &RefCell<Listener>, drains: &Drains) {
         let mut asker = Asker::new(&self.fleet.council);
--- a/crates/agent/src/lanes.rs
+++ b/crates/agent/src/lanes.rs
@@ -142,9 +142,14 @@
         lacks
     }
 
+    /// Pools that were closed and have nothing under way any more are let go of.
+    fn forget_closed(&self) {
+        self.closing.borrow_mut().retain(|lane| lane.pool.levels().open > 0);
+    }
+
     /// Whether nothing is out to a server, and nothing will be sent to it while it drains.
     pub fn is_quiet(&self, server: &str) -> bool {
-        self.closing.borrow_mut().retain(|lane| lane.pool.levels().open > 0);
+        self.forget_closed();
         let (lanes, closing) = (self.lanes.borrow(), self.closing.borrow());
         lanes.iter().chain(closing.iter()).all(|lane| lane.pool.is_quiet(server))
     }
@@ -181,6 +186,7 @@
     /// comes from elsewhere now; one that the plan lacks takes nothing new, and what is under way in it ends as it began.
     /// `known` is the first pool's list as it was last known, and whether the source's versions go on from there.
     pub fn revise(&self, plans: &[PoolPlan], ids: &[ClassId], mut known: Option<(List<SocketAddr>, bool)>) {
+        self.forget_closed();
         let old = self.lanes.take();
         let lanes = plans.iter().map(|plan| {
             let same = old.iter().find(|lane| lane.pool.name() == plan.name && lane.revise(plan, ids));
--- a/crates/council/src/state.rs
+++ b/crates/council/src/state.rs
@@ -580,10 +580,7 @@
             Changed::Member(name, _) => is_agent(name).then_some(""),
         };
         if let Some(touched) = touched {
-            match self.touched.get_mut(touched) {
-                Some(at) => *at = self.revision,
-                None => drop(self.touched.insert(touched.into(), self.revision)),
-            }
+            self.touched.insert(touched.into(), self.revision);
         }
         self.changes.push_back(Change { revision: self.revision, what });
         while self.changes.len() > bounds.changes.max(TXN_MOST) {
--- a/crates/lab/src/processes/rig.rs
+++ b/crates/lab/src/processes/rig.rs
@@ -875,22 +875,22 @@
         // One at a time: a council that has lost a majority of its disks is gone.
         let after = if self.others_are_up(&process) { after } else { After::Kept };
         let disk = self.disk(&process);
-        match after {
-            After::Kept => {}
-            After::Emptied => return self.replace(&process).await,
-            After::Cut => {
+        if after == After::Emptied {
+            self.replace(&process).await;
+        } else {
+            if after == After::Cut {
                 let cut = std::fs::OpenOptions::new().write(true).open(&disk);
                 let cut = cut.and_then(|file| file.set_len(file.metadata()?.len() / 2));
                 if let Err(why) = cut {
                     self.wrong(format!("{}: {why}", disk.display()));
                 }
             }
-        }
-        if let Err(why) = process.start(&self.program) {
-            self.wrong(why);
-        }
-        if after == After::Cut {
-            self.ends_and_is_replaced(&process, "cut short").await;
+            if let Err(why) = process.start(&self.program) {
+                self.wrong(why);
+            }
+            if after == After::Cut {
+                self.ends_and_is_replaced(&process, "cut short").await;
+            }
         }
         process.held.set(false);
     }
@@ -953,6 +953,5 @@
         while self.tool(&["fleet", "replace", &process.name]).await != Some(0) {
             sleep(LOOK_EVERY).await;
         }
-        process.held.set(false);
     }
 }
--- a/crates/lab/src/processes/world/askers.rs
+++ b/crates/lab/src/processes/world/askers.rs
@@ -116,23 +116,19 @@
         let now = self.now;
         let mut due = Micros::MAX;
         let clock = self.processes[at].clock;
-        let askers_at = |process: &Process, which: usize| process.askers[which].due;
         let mut asks: Vec<(usize, Request)> = Vec::new();
         let free: [bool; ASKERS] =
             std::array::from_fn(|which| self.processes[at].askers[which].out.is_none());
-        let (due_0, due_1) = (askers_at(&self.processes[at], 0), askers_at(&self.processes[at], 1));
-        let can = [free[0] && now >= due_0, free[1] && now >= due_1];
+        let dues: [Micros; ASKERS] = std::array::from_fn(|which| self.processes[at].askers[which].due);
+        let can: [bool; ASKERS] = std::array::from_fn(|which| free[which] && now >= dues[which]);
+        let [due_0, due_1, ..] = dues;
         if free[0] {
             due = due.min(due_0.max(now + 1));
         }
-        let more = [2, 3].map(|which| free[which] && now >= askers_at(&self.processes[at], which));
-        match &mut self.processes[at].role {
-            Role::Agent(_) if self.plan.servers > 0 => {
-                let (next, asked) = self.agent_sends(at, more);
-                due = due.min(next);
-                asks.extend(asked);
-            }
-            _ => {}
+        if self.plan.servers > 0 && matches!(self.processes[at].role, Role::Agent(_)) {
+            let (next, asked) = self.agent_sends(at, [can[2], can[3]]);
+            due = due.min(next);
+            asks.extend(asked);
         }
         match &mut self.processes[at].role {
             Role::Drainer(drainer) => {
--- a/crates/lab/src/processes/world/drains.rs
+++ b/crates/lab/src/processes/world/drains.rs
@@ -15,8 +15,6 @@
     listener: Listener,
     /// When it heard of each drain.
     heard: BTreeMap<String, Micros>,
-    /// Where it goes on watching.
-    stands: Option<(u64, u64)>,
     /// Requests that are under way: to whom, and when they end.
     out: Vec<(String, Micros)>,
     next_at: Micros,
@@ -91,12 +89,7 @@
         }
         let mut asks = Vec::new();
         if hears {
-            let prefix = drain::PREFIX.to_string();
-            let request = match sends.stands {
-                Some((history, after)) => Request::Watch { history, after, prefix },
-                None => Request::Read { stale: false, prefix, members: false },
-            };
-            asks.push((2, request));
+            asks.push((2, sends.listener.asks()));
         }
         if let Some(held) = held.filter(|_| says) {
             if sends.saying.as_ref().is_none_or(|(quiet, _)| quiet.incarnation != held) {
@@ -118,22 +111,13 @@
         let now = self.now;
         let Role::Agent(agent) = &mut self.processes[at].role else { return };
         let sends = &mut agent.sends;
-        match response {
-            Some(Response::Read(view)) => {
-                sends.stands = Some((view.history, view.revision));
-                if let Err(why) = sends.listener.hears(&view) {
-                    self.outcome.seen.wrongs.push(why.to_string());
-                }
-                let drained = sends.listener.drained();
-                sends.heard.retain(|server, _| drained.contains(server));
-                for server in drained {
-                    sends.heard.entry(server).or_insert(now);
-                }
-            }
-            Some(Response::Changes { changes, upto }) if changes.is_empty() => {
-                sends.stands = sends.stands.map(|(history, _)| (history, upto));
-            }
-            _ => sends.stands = None,
+        if let Err(why) = sends.listener.hears(response.as_ref()) {
+            self.outcome.seen.wrongs.push(why.to_string());
+        }
+        let drained = sends.listener.drained();
+        sends.heard.retain(|server, _| drained.contains(server));
+        for server in drained {
+            sends.heard.entry(server).or_insert(now);
         }
     }
 
--- a/crates/lab/src/processes/world/faults.rs
+++ b/crates/lab/src/processes/world/faults.rs
@@ -157,13 +157,12 @@
     }
 
     pub(super) fn some(&mut self, is: impl Fn(&Process) -> bool) -> Option<usize> {
-        let all: Vec<usize> = (0..self.processes.len()).filter(|at| is(&self.processes[*at])).collect();
-        all.choose(&mut self.rng).copied()
+        self.some_but(None, is)
     }
 
     fn some_but(&mut self, other: Option<usize>, is: impl Fn(&Process) -> bool) -> Option<usize> {
-        let all: Vec<usize> = (0..self.processes.len()).filter(|at| is(&self.processes[*at])).collect();
-        let all: Vec<usize> = all.into_iter().filter(|at| Some(*at) != other).collect();
+        let all = (0..self.processes.len()).filter(|at| Some(*at) != other && is(&self.processes[*at]));
+        let all: Vec<usize> = all.collect();
         all.choose(&mut self.rng).copied()
     }
 
@@ -181,6 +180,9 @@
         let leader = self.leader.and_then(|number| self.numbers.get(&number).copied());
         let leader = leader.filter(|at| up(&self.processes[*at]) && self.rng.random_bool(0.5));
         let one_of_council = named.or(leader).or_else(|| self.some(is_council));
+        // One at a time: a council that has lost a majority of its disks is gone.
+        let all_up = self.processes.iter().filter(|process| is_council(process)).count() == council;
+        let may_lose_a_disk = !self.replacing && all_up && council > 2;
         match fault.what {
             Kind::StopCouncil => {
                 if let Some(at) = one_of_council {
@@ -194,22 +196,19 @@
                 }
             }
             Kind::EmptyDisk => {
-                // One at a time: a council that has lost a majority of its disks is gone.
-                let all_up = self.processes.iter().filter(|process| is_council(process)).count() == council;
-                if let Some(at) = one_of_council.filter(|_| !self.replacing && all_up && council > 2) {
+                if let Some(at) = one_of_council.filter(|_| may_lose_a_disk) {
                     self.replace(at);
                     self.at(self.now + length, Event::Heal(Heal::Start(at)));
                 }
             }
             Kind::CutDisk | Kind::OldDisk => {
-                let all_up = self.processes.iter().filter(|process| is_council(process)).count() == council;
                 // While the leader stays, it knows what this process had: it is told at the next heartbeat.
                 let leader = self.leader.and_then(|number| self.numbers.get(&number).copied());
                 let at = match fault.what {
                     Kind::OldDisk => named.or_else(|| self.some_but(leader, is_council)),
                     _ => one_of_council,
                 };
-                let Some(at) = at.filter(|_| !self.replacing && all_up && council > 2) else { return };
+                let Some(at) = at.filter(|_| may_lose_a_disk) else { return };
                 self.kill(at);
                 if let Role::Council { disk, .. } = &mut self.processes[at].role {
                     if fault.what == Kind::OldDisk {
--- a/crates/release/src/drain.rs
+++ b/crates/release/src/drain.rs
@@ -4,8 +4,8 @@
 
 use crate::budget::{self, Count, Sort};
 use crate::{below, read, Unreadable};
-use heronhoist_council::state::{is_agent, Check, Standing, Txn, Write};
-use heronhoist_council::wire::View;
+use heronhoist_council::state::{is_agent, Check, Revision, Standing, Txn, Write};
+use heronhoist_council::wire::{Request, Response, View};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -140,13 +140,35 @@
 pub struct Listener {
     drains: BTreeMap<String, u64>,
     said: Option<Quiet>,
+    /// Where it goes on watching: the history and revision of what was read.
+    stands: Option<(u64, Revision)>,
 }
 
 impl Listener {
-    /// The drains as they were read. What can't be read changes nothing: the drains that were heard of stay.
-    pub fn hears(&mut self, view: &View) -> Result<(), Unreadable> {
+    /// What to ask next: all drains, or what has changed since they were read.
+    pub fn asks(&self) -> Request {
+        let prefix = PREFIX.to_string();
+        match self.stands {
+            Some((history, after)) => Request::Watch { history, after, prefix },
+            None => Request::Read { stale: false, prefix, members: false },
+        }
+    }
+
+    /// The answer to that, or none; whether it was the drains as they are now. Nothing that was heard is taken back but by them: what
+    /// can't be read changes nothing.
+    pub fn hears(&mut self, response: Option<&Response>) -> Result<bool, Unreadable> {
+        self.stands = match response {
+            Some(Response::Read(view)) => Some((view.history, view.revision)),
+            Some(Response::Changes { changes, upto }) if changes.is_empty() => {
+                self.stands.map(|(history, _)| (history, *upto))
+            }
+            // Something has changed, or the watch does not reach back far enough, or another process is asked next, which may not
+            // know what this one did: all is read again.
+            _ => None,
+        };
+        let Some(Response::Read(view)) = response else { return Ok(false) };
         self.drains = all(view)?.into_iter().map(|(server, drain)| (server, drain.number)).collect();
-        Ok(())
+        Ok(true)
     }
 
     /// The servers that drain, as far as it has heard.
--- a/crates/release/tests/release.rs
+++ b/crates/release/tests/release.rs
@@ -2,7 +2,7 @@
 
 use heronhoist_council::permit;
 use heronhoist_council::state::{Call, Command, Peer, Reply, State, Txn};
-use heronhoist_council::wire::View;
+use heronhoist_council::wire::{Response, View};
 use heronhoist_council::Bounds;
 use heronhoist_release::budget::{By, Count, Denied, Most, Rule, Rules, Senseless, Server, Sort};
 use heronhoist_release::drain::{self, Drain, Listener};
@@ -91,7 +91,7 @@
     assert!(denied(drain::enter(&council.view(), "s1", drain(8), false)).contains("for op: disk"));
     let mut listeners = [(); 4].map(|()| Listener::default());
     for (at, listener) in listeners.iter_mut().enumerate().take(2) {
-        listener.hears(&council.view()).expect("readable");
+        listener.hears(Some(&Response::Read(council.view()))).expect("readable");
         assert_eq!(listener.drained().into_iter().collect::<Vec<_>>(), ["s1"]);
         assert_eq!(listener.to_say(agents[at], |_| false), None, "something is still out");
         let quiet = listener.to_say(agents[at], |server| server == "s1").expect("to be said");
@@ -122,7 +122,7 @@
     council.expire("n2", agents[1]);
     let again = council.join("n2", "east");
     assert_eq!(barrier(&council).waits_for, ["n2", "n4"]);
-    listeners[1].hears(&council.view()).expect("readable");
+    listeners[1].hears(Some(&Response::Read(council.view()))).expect("readable");
     council.done(listeners[1].to_say(again, |_| true).expect("again").told("n2"));
     council.run(Command::Leave { name: "n4".into(), incarnation: agents[3] });
     assert!(barrier(&council).is_open());
