Open a silent watch anew before what it misses counts as told

Ruled out: the gate before the first byte and the module, which were never told; old lists; a slow connect. To blame: discovery.rs, HOLD of 20 s and one time of 25 s for connect, answer and list together: a watch whose connection stays up and says nothing was noticed after 25 s. roster.rs: after failed calls the pause before the next grew to 3.75 s, which with a silent call before it made 7.75 s. Mended: a watch waits 2.5 s, its answer has 1.5 s more to begin, a list that trickles in is waited for as long as it goes on (a second a piece, ten in all), a source that pushes or is new is asked again after 150 ms, the module's pause ends at 1 s. Tests: discovery/tests.rs, real connections and the runtime's paused clock, pushed and asked for; four of its five failed without the mend (the fifth, the list that trickles in, holds that it stays so).

--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -6,6 +6,7 @@
 use heronhoist_decision::Time;
 use heronhoist_engine::{Feed, List, Member, Membership, SERVERS_MOST};
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
@@ -20,15 +21,19 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, Instant};
 
-/// How long a watch waits for news.
-const HOLD: Duration = Duration::from_secs(20);
-/// How long a call may take besides that; the service gives up its own calls well before.
-const ANSWER_WAIT: Duration = Duration::from_secs(5);
+/// How long a watch waits for news. What a watch misses that has fallen silent counts as told 6 s after that, so this,
+/// the time for its answer and a new call have to fit into those 6 s.
+const HOLD: Duration = Duration::from_millis(2500);
+/// How long the head of an answer may take besides that. A call that has none by then is broken.
+const HEAD_WAIT: Duration = Duration::from_millis(1500);
+/// How long nothing may come of an answer that has begun, and how long all of it may take: a list that trickles in is
+/// no broken one.
+const PIECE_WAIT: Duration = Duration::from_secs(1);
+const LIST_WAIT: Duration = Duration::from_secs(10);
 const CONNECT_WAIT: Duration = Duration::from_secs(1);
-/// How long a new source may take for its first answer before it is asked again, and the pause before that: what it
-/// has to tell must be known within 4 s.
-const MOVED_WAIT: Duration = Duration::from_millis(2500);
-const MOVED_PAUSE: Duration = Duration::from_millis(150);
+/// How long the head of a new source's first answer may take before it is asked again: what it has to tell must be known
+/// within 4 s.
+const MOVED_WAIT: Duration = Duration::from_millis(1200);
 /// The whole list; with a version it is a watch on what is newer.
 const LIST_PATH: &str = "/registry/instances";
 /// The largest list that is read: some 500 bytes for each server that a pool takes. While it is read it takes about four
@@ -37,8 +42,9 @@
 /// Pause after an answer that came at once and brought nothing new, so that a discovery which does not wait is not
 /// asked without end; well within the 200 ms that may lie between two watches.
 const EMPTY_PAUSE: Duration = Duration::from_millis(100);
-/// Pause before a pushed list is asked for again; the source is on the same machine.
-const PUSHED_PAUSE: Duration = Duration::from_millis(500);
+/// Pause before a source is asked again that pushes its lists or is new; it is on the same machine, and what it has to tell
+/// when it returns binds at once.
+const AGAIN_PAUSE: Duration = Duration::from_millis(150);
 
 /// A list or a change of it, in discovery's form.
 #[derive(Debug, Clone, Deserialize)]
@@ -157,8 +163,13 @@
     Some(Line { sender, task: task.abort_handle() })
 }
 
-/// One call; `None` if it failed in whatever way.
-async fn call(address: SocketAddr, line: &mut Option<Line>, path: &str) -> Option<ListReply> {
+/// One call, of whose answer the head has so much time; `None` if it failed in whatever way.
+async fn call(
+    address: SocketAddr,
+    line: &mut Option<Line>,
+    path: &str,
+    head_wait: Duration,
+) -> Option<ListReply> {
     // A line that discovery has closed between two calls is no failure of the next one.
     let mut kept = line.take().filter(|l| l.sender.is_ready());
     if kept.is_none() {
@@ -166,11 +177,11 @@
     }
     let mut kept = kept?;
     let request = Request::get(path).header(HOST, address.to_string()).body(Empty::new()).ok()?;
-    let answer = kept.sender.send_request(request).await.ok()?;
+    let answer = timeout(head_wait, kept.sender.send_request(request)).await.ok()?.ok()?;
     if answer.status() != StatusCode::OK {
         return None;
     }
-    let body = Limited::new(answer.into_body(), LIST_MOST).collect().await.ok()?.to_bytes();
+    let body = timeout(LIST_WAIT, whole(answer.into_body())).await.ok()??;
     let list = serde_json::from_slice(&body).ok()?;
     if timeout(Duration::from_millis(50), kept.sender.ready()).await.is_ok_and(|r| r.is_ok()) {
         *line = Some(kept);
@@ -178,6 +189,17 @@
     Some(list)
 }
 
+/// All of an answer; `None` if it breaks off, stops coming or is too long.
+async fn whole(body: Incoming) -> Option<Vec<u8>> {
+    let (mut body, mut read) = (Limited::new(body, LIST_MOST), Vec::new());
+    while let Some(frame) = timeout(PIECE_WAIT, body.frame()).await.ok()? {
+        if let Ok(data) = frame.ok()?.into_data() {
+            read.extend_from_slice(&data);
+        }
+    }
+    Some(read)
+}
+
 /// The platform's discovery.
 pub struct Discovery {
     /// Where it listens; may change.
@@ -235,11 +257,11 @@
         // A new source owes nothing to the version of the old one: it is asked for the whole list first, whatever
         // the module is waiting for, until it has answered. What is known stands till then.
         while self.feed.version().is_none() {
-            match timeout(MOVED_WAIT, call(self.address, &mut line, LIST_PATH)).await.ok().flatten() {
+            match call(self.address, &mut line, LIST_PATH, MOVED_WAIT).await {
                 Some(list) => {
                     self.tell(ListReply { all: true, ..list });
                 }
-                None => sleep(MOVED_PAUSE).await,
+                None => sleep(AGAIN_PAUSE).await,
             }
         }
         loop {
@@ -249,7 +271,7 @@
                 format!("{LIST_PATH}?from={}&hold_ms={}", version.unwrap_or_default(), HOLD.as_millis());
             let asked = Instant::now();
             let answer = tokio::select! {
-                answer = timeout(HOLD + ANSWER_WAIT, call(self.address, &mut line, &path)) => answer.ok().flatten(),
+                answer = call(self.address, &mut line, &path, HOLD + HEAD_WAIT) => answer,
                 () = self.feed.followed(false) => continue,
             };
             match answer {
@@ -260,11 +282,8 @@
                         sleep(EMPTY_PAUSE).await;
                     }
                 }
-                None if pushed => sleep(PUSHED_PAUSE).await,
-                None => {
-                    line = None;
-                    self.feed.lost();
-                }
+                None if pushed => sleep(AGAIN_PAUSE).await,
+                None => self.feed.lost(),
             }
         }
     }
@@ -273,7 +292,7 @@
     async fn fetch(&self) {
         loop {
             self.feed.asked().await;
-            match timeout(ANSWER_WAIT, call(self.address, &mut None, LIST_PATH)).await.ok().flatten() {
+            match call(self.address, &mut None, LIST_PATH, HOLD + HEAD_WAIT).await {
                 // Left out if the watch has brought something newer meanwhile.
                 Some(list) => {
                     self.tell(list);
@@ -283,3 +302,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/decision/src/policy/roster.rs
+++ b/crates/decision/src/policy/roster.rs
@@ -5,16 +5,16 @@
 /// of its requests that is usually out.
 const NEAR_LEAST: f64 = 4.0;
 const NEAR_OUT: f64 = 6.0;
-/// Pause before the list is asked for again, doubled on each failure up to a quarter of what the site asks.
+/// Pause before the list is asked for again, doubled on each failure up to five times as long.
 pub(super) const ASK_AGAIN: Span = Span(200_000);
 
 impl Balancer {
     pub(super) fn list(&mut self, now: Time, update: ListUpdate, out: &mut Vec<Action>) {
         let (lines, complete) = match update {
             ListUpdate::Failed => {
-                let jitter = 0.5 + self.rng.f64();
-                self.ask_at = Some(now + self.ask_pause * jitter);
-                self.ask_pause = (self.ask_pause * 2.0).min(self.settings.ask_within * 0.25);
+                self.ask_at = Some(now + self.ask_pause * (0.5 + self.rng.f64()));
+                let most = (self.settings.ask_within * 0.25).min(ASK_AGAIN * 5.0);
+                self.ask_pause = (self.ask_pause * 2.0).min(most);
                 return;
             }
             ListUpdate::Changes(lines) => (lines, false),
