Give each request its whole time at a stop, however late it was taken

Ruled out: the close of resting connections (none was told to end), the listener's queue, resets by servers. To blame: lib.rs, the end at SIGTERM + longest deadline + 0.3 s though requests are taken for 0.5 s and longer. Mended: the end counts from the close of the listener, and comes once nothing is owed, being given or on its way. What comes after the listener has closed is answered in the time that is left before a kill (3 s of a longer deadline): Owed::answer asks the front by when. Half a request on a resting connection is waited for; hyper would close over it. Tests: three in loopback/stopping.rs, each failed without the mend.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -51,8 +51,11 @@
 const ACCEPT_ON: Duration = Duration::from_millis(500);
 /// Once nothing is owed, connections that have not been used yet are given this long.
 const LINGER: Duration = Duration::from_millis(400);
-/// The end, counted from SIGTERM over the longest deadline.
-const STOP_SLACK: Duration = Duration::from_millis(300);
+/// Whoever stops a process waits for the longest deadline before it is killed, for no more than this of it, and a little
+/// over [`ACCEPT_ON`].
+const KILL_AFTER: Duration = Duration::from_secs(3);
+/// The end of a process of which something still does not end, over all the time that its requests have.
+const STOP_SLACK: Duration = Duration::from_secs(1);
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -201,9 +204,11 @@
         sleep(ACCEPT_ON).await;
         end(accepting).await;
     }
-    server.close_all();
+    let longest = server.longest_deadline();
+    server.close_all(stop + ACCEPT_ON + longest.min(KILL_AFTER));
     let quiet_from = stop + ACCEPT_ON + LINGER;
-    let last = stop + server.longest_deadline() + STOP_SLACK;
+    // Requests have been taken up to now, and each has its whole time.
+    let last = stop + ACCEPT_ON + longest + STOP_SLACK;
     while server.connections() > 0 && Instant::now() < last {
         if server.owed() == 0 && Instant::now() >= quiet_from {
             break;
--- a/crates/agent/src/seats.rs
+++ b/crates/agent/src/seats.rs
@@ -88,6 +88,15 @@
         matches!(self.phase.get(), Phase::Body | Phase::Busy)
     }
 
+    /// A request has begun to come on it, be it that nobody has read that yet.
+    pub fn is_coming(&self) -> bool {
+        match self.phase.get() {
+            Phase::Waiting => self.view.received() > self.mark.get() || self.view.has_unread(),
+            Phase::Reading => true,
+            Phase::Body | Phase::Busy | Phase::Leaving => false,
+        }
+    }
+
     /// What is left of a body is read and thrown away, or no longer.
     pub fn discard(&self, discards: bool) {
         self.discards.set(discards);
@@ -288,9 +297,9 @@
         self.seats.borrow().values().for_each(|seat| seat.tell(End::Gently));
     }
 
-    /// How many owe an answer, or have begun to read a request and so may owe one soon.
+    /// How many owe an answer, are still giving it, or have begun to be sent a request and so may owe one soon.
     pub fn owed(&self) -> usize {
-        let owes = |seat: &&Rc<Seat>| matches!(seat.phase.get(), Phase::Busy | Phase::Body | Phase::Reading);
+        let owes = |seat: &&Rc<Seat>| seat.phase.get() != Phase::Waiting || seat.is_coming();
         self.seats.borrow().values().filter(owes).count()
     }
 }
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -101,15 +101,28 @@
     open: Gauge,
     limits: Cell<Limits>,
     stopping: Cell<bool>,
+    /// At a stop, what comes from now on has its answer by then.
+    answer_by: Cell<Option<Instant>>,
 }
 
 impl Server {
     /// Serves nobody yet.
     pub fn new(serving: Serving, lanes: Rc<Lanes>, metrics: Rc<Metrics>, limits: Limits) -> Rc<Self> {
-        let (seats, open, stopping, listening) = Default::default();
+        let (seats, open, stopping, listening, answer_by) = Default::default();
         let longest = Cell::new(serving.catalogue.longest_deadline());
         let (serving, limits) = (RefCell::new(Rc::new(serving)), Cell::new(limits));
-        Rc::new(Server { serving, lanes, metrics, listening, longest, seats, open, limits, stopping })
+        Rc::new(Server {
+            serving,
+            lanes,
+            metrics,
+            listening,
+            longest,
+            seats,
+            open,
+            limits,
+            stopping,
+            answer_by,
+        })
     }
 
     /// Holds so many connections from now on.
@@ -170,8 +183,10 @@
         self.stopping.set(true);
     }
 
-    /// Closes the connections that are idle, and the others after their answer.
-    pub fn close_all(&self) {
+    /// Closes the connections that are idle, and the others after their answer. What still comes, on one that has not been
+    /// used yet, is answered by then, whatever its client would wait.
+    pub fn close_all(&self, answer_by: Instant) {
+        self.answer_by.set(Some(answer_by));
         self.seats.close_all();
     }
 
@@ -220,8 +235,8 @@
             end = seat.ended() => if end == End::AtOnce { return },
         }
         let gently = async {
-            // A request that has come but was not read yet must not be cut off by the close.
-            while !seat.is_busy() && seat.view().has_unread() {
+            // A request that is on its way, or has come and was not read yet, must not be cut off by the close.
+            while seat.is_coming() {
                 if timeout(Duration::from_millis(1), connection.as_mut()).await.is_ok() {
                     return;
                 }
@@ -398,14 +413,13 @@
     ) -> Result<(Final<Served>, Option<Ticket>), Declined> {
         let mut in_flight = None;
         let since = Cell::new(None);
-        let mut whole = || {
+        let whole = |deadline: Instant| {
             seat.take();
             since.set(Some(Instant::now()));
             in_flight = Some(self.metrics.take());
+            // The module has the client's whole time: a server that answers sooner serves it.
+            self.answer_by.get().map_or(deadline, |by| deadline.min(by))
         };
-        if exchange.deadline.is_some() {
-            whole();
-        }
         // Dropped by hyper with this future when the client closes its connection.
         let owed = lane.pool.submit(exchange)?;
         let id = owed.id();
--- a/crates/agent/tests/loopback/stopping.rs
+++ b/crates/agent/tests/loopback/stopping.rs
@@ -52,3 +52,74 @@
     assert_eq!((answer.status(), answer.body.as_slice()), (200, "done".as_bytes()));
     assert_eq!(agent.ended(), Some(0));
 }
+
+/// Deadlines as short as some sites have them.
+fn short_deadlines() -> String {
+    SETTINGS.replace(r#""aimMs":5000,"deadlineMs":10000"#, r#""aimMs":600,"deadlineMs":1200"#)
+}
+
+fn started(backend: &Backend, settings: &str) -> (Agent, Discovery) {
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    (Agent::start(&config(discovery.address, &line, settings, 1024)), discovery)
+}
+
+/// What is taken after SIGTERM has its whole time, however late it came: the process must not end before.
+#[test]
+fn a_request_on_the_last_open_connection_has_its_answer_before_the_end() {
+    let backend = Backend::new(|m| if m.path().starts_with("/once") { Act::Silence } else { ok("x") });
+    let (mut agent, _discovery) = started(&backend, &short_deadlines());
+    let mut idle = Client::to(&agent);
+    assert_eq!(idle.ask(&request("read", 1200)).status(), 200);
+    let mut new = Client::to(&agent);
+    let mut last = Client::to(&agent);
+    // Both are known to the agent before the signal.
+    assert_eq!(idle.ask(&request("read", 1200)).status(), 200);
+    agent.terminate();
+    assert!(idle.read().is_none(), "what rests is closed with the listener");
+    // Its server never answers: its time goes on until after the longest deadline from the signal on.
+    new.write(&request("once", 1200));
+    assert!(new.read().is_some(), "its answer is owed");
+    last.write("");
+    assert_eq!(agent.ended(), Some(0));
+}
+
+/// Whoever stops a process waits for a deadline of 3 s at most: what comes after the listener has closed is answered by then,
+/// and what was taken before has its time.
+#[test]
+fn what_comes_late_is_answered_before_the_process_is_killed() {
+    let backend = Backend::new(|m| if m.path().starts_with("/once") { Act::Silence } else { ok("x") });
+    let (agent, _discovery) = started(&backend, SETTINGS);
+    let mut idle = Client::to(&agent);
+    assert_eq!(idle.ask(&request("read", 9000)).status(), 200);
+    let mut busy = Client::to(&agent);
+    busy.write(&request("once", 9000));
+    backend.heard.wait(2);
+    let mut new = Client::to(&agent);
+    agent.terminate();
+    assert!(idle.read().is_none());
+    new.write(&request("once", 9000));
+    assert!(new.read().is_some(), "its answer is owed");
+    busy.stream.set_nonblocking(true).unwrap();
+    let unanswered = std::io::Read::read(&mut busy.stream, &mut [0; 1]);
+    assert_eq!(unanswered.unwrap_err().kind(), std::io::ErrorKind::WouldBlock);
+}
+
+/// A request that has begun to come on a connection that rested is on its way: its other half is waited for.
+#[test]
+fn half_a_request_at_the_stop_becomes_a_whole_one() {
+    let backend = Backend::new(|_| ok("x"));
+    let (mut agent, _discovery) = Agent::with(&[&backend]);
+    let (mut idle, mut slow) = (Client::to(&agent), Client::to(&agent));
+    assert_eq!(slow.ask(&request("read", 9000)).status(), 200);
+    let text = request("read", 9000);
+    let (begun, rest) = text.split_at(text.len() / 2);
+    slow.write(begun);
+    // By this answer the half has been read.
+    assert_eq!(idle.ask(&request("read", 9000)).status(), 200);
+    agent.terminate();
+    assert!(idle.read().is_none());
+    slow.write(rest);
+    assert_eq!(slow.read().map(|m| m.status()), Some(200));
+    assert_eq!(agent.ended(), Some(0));
+}
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -740,9 +740,9 @@
     }
 
     /// The one final answer, no later than [`ANSWER_RESERVE`] before the client stops waiting (less for a short budget):
-    /// that promise does not hang on the module. `whole` is called when the last of a request has come that was
-    /// submitted before that.
-    pub async fn answer(mut self, mut whole: impl FnMut()) -> Final<U::Answer> {
+    /// that promise does not hang on the module. `whole` is called once the last of the request has come, with the time
+    /// until which its client waits; what it gives back is the time by which this one is answered.
+    pub async fn answer(mut self, whole: impl FnOnce(Instant) -> Instant) -> Final<U::Answer> {
         let call = Rc::clone(&self.call);
         if let (None, Some(arriving)) = (self.deadline, call.arriving()) {
             let coming = {
@@ -756,11 +756,10 @@
             let Coming::Whole(at) = coming else { return Final::Unfinished };
             let deadline = at + self.budget;
             self.deadline = Some(deadline);
-            whole();
             self.pool.arrived(self.id, deadline);
         }
         // One that never comes in parts and has no deadline waits as long as its budget says.
-        let deadline = self.deadline.unwrap_or_else(|| Instant::now() + self.budget);
+        let deadline = whole(self.deadline.unwrap_or_else(|| Instant::now() + self.budget));
         let left = deadline.saturating_duration_since(Instant::now());
         // Half of what the attempts keep back is left for the module's word.
         let last = deadline - reserve(ANSWER_RESERVE, self.budget / 2).min(left);
@@ -836,7 +835,7 @@
             let id = owed.id;
             let cancel = Action::Cancel { request: id, attempt: AttemptNo(0) };
             pool.perform(vec![cancel, Action::Fail { request: id }]);
-            assert!(matches!(owed.answer(|| {}).await, Final::Failed));
+            assert!(matches!(owed.answer(|deadline| deadline).await, Final::Failed));
             assert!(pool.0.core.borrow().open.contains_key(&id), "its outcome has not been told");
             assert_eq!(pool.submit(exchange("id")).err(), Some(Declined::NameInUse));
             while pool.levels().open > 0 {
@@ -858,7 +857,7 @@
                 Action::Fail { request: id },
                 Action::Refuse { request: id, retry_after: None },
             ]);
-            assert!(matches!(owed.answer(|| {}).await, Final::Failed));
+            assert!(matches!(owed.answer(|deadline| deadline).await, Final::Failed));
             pool.perform(vec![Action::Cancel { request: id, attempt: AttemptNo(0) }]);
             while pool.levels().open > 0 {
                 yield_now().await;
@@ -876,7 +875,7 @@
             settings.classes[0].aim = Span::from_ms(11.0);
             pool.revise(settings, vec![ClassId(1)], &[]);
             let owed = pool.submit(Exchange::new(Nothing, ClassId(1), budget)).expect("taken");
-            let answer = owed.answer(|| {}).await;
+            let answer = owed.answer(|deadline| deadline).await;
             let waited = begun.elapsed();
             assert!(!matches!(answer, Final::Served(())), "its server never answers");
             assert!((Duration::from_millis(18)..budget).contains(&waited), "{waited:?}");
--- a/crates/engine/tests/line/line.rs
+++ b/crates/engine/tests/line/line.rs
@@ -162,5 +162,5 @@
     let call = Line { name: name.into(), class };
     let exchange = Exchange::new(call, ClassId(class), Duration::from_secs(5));
     let owed = pool.submit(Exchange { name: Some(name.as_bytes().into()), ..exchange })?;
-    Ok(timeout(BOUND, owed.answer(|| {})).await.expect("an answer in time"))
+    Ok(timeout(BOUND, owed.answer(|deadline| deadline)).await.expect("an answer in time"))
 }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -496,7 +496,7 @@
         tokio::select! {
             biased;
             _ = life.dead.wait_for(|dead| dead) => Reply::Broken,
-            answer = owed.answer(|| {}) => Reply::Answer(match answer {
+            answer = owed.answer(|deadline| deadline) => Reply::Answer(match answer {
                 Final::Served(answered) => self.pass_on(&ask, side, answered),
                 Final::Refused(wait) => Answer::Refused(wait.map(|wait| wait.0)),
                 Final::Failed | Final::OutOfTime | Final::Unfinished => Answer::Failed,
