Begin no attempt for a client that has gone

Read: pool.rs asked before an attempt's first byte only whether its server drains. Ruled out: requests that wait in the module (gone with their client), uploads (their end is an error of the body). Mended: the gate asks too whether the request still owes its answer; the front waits for the end of the stream itself, by the socket's readiness, and ends the request then. Tests: pool.rs nothing_begins_for_a_client_that_has_gone (a connection that comes up after the client went) and loopback/clients.rs a_client_that_closes_behind_half_a_request_has_gone; both failed without the mend.

--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -26,7 +26,6 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -201,6 +200,18 @@
     }
 }
 
+/// The client has gone before it had its answer: its connection ends, and nothing is sent on for it.
+#[derive(Debug)]
+struct Gone;
+
+impl std::fmt::Display for Gone {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the client has gone")
+    }
+}
+
+impl std::error::Error for Gone {}
+
 impl Shown for Server {
     fn is_ready(&self) -> bool {
         self.listening.get() && !self.stopping.get() && self.lanes.can_decide()
@@ -217,13 +228,17 @@
             let (server, front, seat) = (Rc::clone(self), Rc::clone(front), Rc::clone(seat));
             async move {
                 seat.begin();
-                let mut answer = server.handle(&front, &seat, request).await;
+                let mut answer = tokio::select! {
+                    biased;
+                    answer = server.handle(&front, &seat, request) => answer,
+                    () = seat.view().closed() => return Err(Gone),
+                };
                 // Clients that ask once and stay would leave the others none of the connections that all may hold.
                 if server.stopping.get() || server.open.count() > server.limits.get().keep_most {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 seat.answer(answer.headers().contains_key(CONNECTION));
-                Ok::<_, Infallible>(answer)
+                Ok(answer)
             }
         });
         let mut builder = hyper::server::conn::http1::Builder::new();
--- a/crates/agent/src/wire.rs
+++ b/crates/agent/src/wire.rs
@@ -139,6 +139,18 @@
         self.stream.upgrade().is_some_and(|stream| is_quiet(&stream))
     }
 
+    /// Comes back once the peer has closed its side, whatever it has sent before that and nobody has read. (hyper looks
+    /// no further than what it has not used yet.)
+    pub async fn closed(&self) {
+        if let Some(stream) = self.stream.upgrade() {
+            // Of all that a socket is registered for, this interest is met by the end of what comes, and nothing else.
+            if !stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {
+                return;
+            }
+        }
+        std::future::pending().await
+    }
+
     /// True if the peer has sent something that waits to be read.
     pub fn has_unread(&self) -> bool {
         self.stream.upgrade().is_some_and(|stream| matches!(peek(&stream), Ok(n) if n > 0))
--- a/crates/agent/tests/loopback/clients.rs
+++ b/crates/agent/tests/loopback/clients.rs
@@ -147,3 +147,23 @@
     let answer = Client::to(&agent).ask(&request("read", 800));
     assert_eq!((answer.status(), answer.header("Retry-After")), (503, None));
 }
+
+/// A client that closes has gone, whatever it had begun to send behind its request: nothing is held for it any more.
+#[test]
+fn a_client_that_closes_behind_half_a_request_has_gone() {
+    let next = request("read", 90_000);
+    for behind in ["", "\r\n", &next[..9], &next] {
+        // Neither an answer nor the end of its time comes within the test.
+        let backend = Backend::new(|_| Act::Silence);
+        let line = serving("s", backend.address);
+        let discovery = Discovery::new(line.clone());
+        let settings = SETTINGS.replace(r#""deadlineMs":10000"#, r#""deadlineMs":100000"#);
+        let agent = Agent::start(&with_ops(&config(discovery.address, &line, &settings, 1024)));
+        let mut client = Client::to(&agent);
+        client.write(&(request("once", 90_000) + behind));
+        backend.heard.wait(1);
+        assert_eq!(agent.figure("app_in_flight"), Some(1.0));
+        drop(client);
+        agent.wait_figure("app_in_flight", 0.0);
+    }
+}
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -593,7 +593,7 @@
         spawn_local(async move {
             let ended = match place {
                 Some(place) => {
-                    let ended = pool.attempt(place, &call, until, budget, cancelled).await;
+                    let ended = pool.attempt(id, place, &call, until, budget, cancelled).await;
                     pool.0.core.borrow_mut().servers.leave(server, ended.outcome);
                     ended
                 }
@@ -605,6 +605,7 @@
 
     async fn attempt(
         &self,
+        id: RequestId,
         place: Place<U::Address>,
         call: &U::Call,
         until: Instant,
@@ -612,7 +613,12 @@
         cancelled: oneshot::Receiver<()>,
     ) -> Ended<U::Answer> {
         let (sent, server) = (Cell::new(false), place.server);
-        let lawful = || self.0.core.borrow().servers.may_send(server, self.0.drain_grace.get());
+        // A connection may take long to come up: by then the client may have gone, or have its answer.
+        let lawful = || {
+            let core = self.0.core.borrow();
+            let owed = core.open.get(&id).is_some_and(|open| open.reply.is_some());
+            owed && core.servers.may_send(server, self.0.drain_grace.get())
+        };
         let gate = Gate::new(&sent, &lawful, until);
         let exchange = self.0.upstream.attempt(place, call, gate);
         let late = async {
@@ -902,4 +908,55 @@
         };
         LocalSet::new().run_until(test).await;
     }
+
+    /// Its connections come up when they are told to.
+    struct Slow(Rc<Notify>, Rc<Cell<Option<bool>>>);
+
+    impl Upstream for Slow {
+        type Address = u16;
+        type Call = Nothing;
+        type Answer = ();
+        async fn attempt(&self, _: Place<u16>, _: &Nothing, gate: Gate<'_>) -> Ended<()> {
+            self.0.notified().await;
+            self.1.set(Some(gate.open()));
+            Outcome::NotSent.into()
+        }
+        async fn probe(&self, _: Place<u16>) -> Ended<()> {
+            Outcome::TimedOut.into()
+        }
+        fn close_idle(&self, _: ServerId) {}
+        fn retire(&self, _: &dyn Fn(ServerId, u64) -> bool) {}
+    }
+
+    /// A client that has gone while a connection came up is sent nowhere; one that waits is.
+    #[tokio::test(start_paused = true)]
+    async fn nothing_begins_for_a_client_that_has_gone() {
+        let test = async {
+            for gone in [false, true] {
+                let (up, opened) = (Rc::new(Notify::new()), Rc::new(Cell::new(None)));
+                let known = List { version: 1, whole: true, members: vec![Member::serving("s", 80)] };
+                let pool = Pool::new(Setup {
+                    name: "main".into(),
+                    settings: Settings::default(),
+                    seed: 7,
+                    names: ServerNames::default(),
+                    known: Some(known),
+                    known_stands: true,
+                    epoch: None,
+                    upstream: Slow(Rc::clone(&up), Rc::clone(&opened)),
+                    requests: Quota::alone(9),
+                });
+                let owed = pool.expect("usable").submit(exchange("id")).expect("taken");
+                yield_now().await;
+                let kept = (!gone).then_some(owed);
+                up.notify_one();
+                while opened.get().is_none() {
+                    yield_now().await;
+                }
+                assert_eq!(opened.get(), Some(!gone));
+                drop(kept);
+            }
+        };
+        LocalSet::new().run_until(test).await;
+    }
 }
