Send no repeat once the window of its first attempt is over

Ruled out: the first attempt's time (its decision comes before its bytes, which errs to the safe side), groups (they are the list's at the send). Test: pool.rs no_repeat_begins_after_its_window (a connection that comes up 449 and 451 ms after the decision), failed without the mend.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -687,6 +687,8 @@
         server: ServerId,
         /// When the attempt times out.
         timeout_at: Time,
+        /// Its first byte must go by then, or none: a connection may come up too late for the servers to drop a repeat.
+        begin_by: Time,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/crates/decision/src/policy/draw.rs
+++ b/crates/decision/src/policy/draw.rs
@@ -123,7 +123,7 @@
     }
 
     pub(super) fn send(&mut self, now: Time, id: RequestId, server: usize, out: &mut Vec<Action>) {
-        let work = self.work(&self.live[&id]);
+        let (work, begin_by) = (self.work(&self.live[&id]), self.lawful(&self.live[&id], now).begin_by);
         let Some(live) = self.live.get_mut(&id) else { return };
         if live.request.arriving {
             // No time runs for it until its last part has come; the caller sees to it that it goes on coming.
@@ -146,6 +146,6 @@
             None => false,
         };
         self.flights.insert((id, attempt), Flight { server, class, sent: now, trial, arriving, work });
-        out.push(Action::Send { request: id, server: s.listed.server, timeout_at });
+        out.push(Action::Send { request: id, server: s.listed.server, timeout_at, begin_by });
     }
 }
--- a/crates/decision/src/policy/lawful.rs
+++ b/crates/decision/src/policy/lawful.rs
@@ -14,6 +14,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct Lawful {
     pub(super) send: Reach,
+    /// What is sent has to begin by then: later, servers that have seen the request don't drop it any more.
+    pub(super) begin_by: Time,
     pub(super) refuse: bool,
 }
 
@@ -36,28 +38,21 @@
 impl Balancer {
     /// What the rules still allow.
     pub(super) fn lawful(&self, live: &Live, now: Time) -> Lawful {
-        let class = &self.classes[&live.request.class].class;
         let out = live.attempts.iter().any(|a| a.fate == Fate::Out);
-        let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
         let full = live.attempts.len() >= live.max_attempts;
         let shut =
             full || live.bound || live.spent || now >= live.deadline || (out && !self.settings.second_copies);
-        let send = match (first, class.effect) {
-            _ if shut => Reach::Nowhere,
-            (None, _) | (_, Effect::Idempotent) => Reach::Anywhere,
-            (Some(_), Effect::AtMostOnce) => Reach::Nowhere,
-            (Some(first), Effect::Deduplicated { window, .. }) if now > first.sent + window => Reach::Nowhere,
-            (Some(first), Effect::Deduplicated { group, .. }) => match group {
-                Group::All => Reach::Anywhere,
-                Group::Zone => Reach::Zone(first.zone),
-                Group::Cell => Reach::Cell(first.cell),
+        let first = live.attempts.iter().find(|a| a.fate != Fate::NeverRan);
+        let (reach, begin_by, refuse) = match (first, self.classes[&live.request.class].class.effect) {
+            (None, _) | (_, Effect::Idempotent) => (Reach::Anywhere, Time(u64::MAX), true),
+            (Some(_), Effect::AtMostOnce) => (Reach::Nowhere, Time(u64::MAX), false),
+            (Some(first), Effect::Deduplicated { group, window }) => match group {
+                Group::All => (Reach::Anywhere, first.sent + window, true),
+                Group::Zone => (Reach::Zone(first.zone), first.sent + window, false),
+                Group::Cell => (Reach::Cell(first.cell), first.sent + window, false),
             },
         };
-        let refuse = match (first, class.effect) {
-            (None, _) | (_, Effect::Idempotent) => true,
-            (Some(_), Effect::AtMostOnce) => false,
-            (Some(_), Effect::Deduplicated { group, .. }) => group == Group::All,
-        };
-        Lawful { send, refuse: refuse && !live.bound }
+        let send = if shut || now > begin_by { Reach::Nowhere } else { reach };
+        Lawful { send, begin_by, refuse: refuse && !live.bound }
     }
 }
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -152,7 +152,7 @@
 
     pub fn action(&mut self, now: Time, action: &Action) {
         match action {
-            Action::Send { request, server, timeout_at } => {
+            Action::Send { request, server, timeout_at, .. } => {
                 let Some(line) = self.servers.get(server).cloned() else {
                     return self.fault(now, format!("sent to {server:?}, which no list names"));
                 };
--- a/crates/decision/tests/observer_sees_breaches.rs
+++ b/crates/decision/tests/observer_sees_breaches.rs
@@ -18,7 +18,12 @@
 }
 
 fn send(server: u32, now: Time) -> Action {
-    Action::Send { request: RequestId(1), server: ServerId(server), timeout_at: now + Span::from_ms(1.0) }
+    Action::Send {
+        request: RequestId(1),
+        server: ServerId(server),
+        timeout_at: now + Span::from_ms(1.0),
+        begin_by: Time(u64::MAX),
+    }
 }
 
 fn ended(outcome: Outcome, attempt: u32) -> Event {
@@ -85,7 +90,10 @@
     let later = now + Span::from_ms(1100.0);
     o.event(later, &Event::Request(Request::new(RequestId(2), ClassId(0), Span::from_ms(800.0))));
     let timeout_at = later + Span::from_ms(1.0);
-    o.action(later, &Action::Send { request: RequestId(2), server: ServerId(0), timeout_at });
+    o.action(
+        later,
+        &Action::Send { request: RequestId(2), server: ServerId(0), timeout_at, begin_by: Time(u64::MAX) },
+    );
     objects(&o, "draining or gone");
 
     let (mut o, now) = watch(Effect::Idempotent);
@@ -94,7 +102,15 @@
     let later = now + settings_window();
     for (id, now) in (2..13).map(|id| (id, if id == 2 { now } else { later })) {
         o.event(now, &Event::Request(Request::new(RequestId(id), ClassId(0), Span::from_ms(800.0))));
-        o.action(now, &Action::Send { request: RequestId(id), server: ServerId(0), timeout_at: now });
+        o.action(
+            now,
+            &Action::Send {
+                request: RequestId(id),
+                server: ServerId(0),
+                timeout_at: now,
+                begin_by: Time(u64::MAX),
+            },
+        );
     }
     objects(&o, "cold");
 }
--- a/crates/engine/src/pool.rs
+++ b/crates/engine/src/pool.rs
@@ -537,7 +537,9 @@
     fn perform(&self, actions: impl IntoIterator<Item = Action>) {
         for action in actions {
             match action {
-                Action::Send { request, server, timeout_at } => self.send(request, server, timeout_at),
+                Action::Send { request, server, timeout_at, begin_by } => {
+                    self.send(request, server, timeout_at, begin_by)
+                }
                 Action::Cancel { request, attempt } => {
                     // It stays listed as out: its request must not be forgotten before its outcome is told.
                     let mut core = self.0.core.borrow_mut();
@@ -574,7 +576,7 @@
         self.forget_ended(id);
     }
 
-    fn send(&self, id: RequestId, server: ServerId, timeout_at: Time) {
+    fn send(&self, id: RequestId, server: ServerId, timeout_at: Time, begin_by: Time) {
         let now = Instant::now();
         let mut core = self.0.core.borrow_mut();
         let core = &mut *core;
@@ -593,7 +595,7 @@
         spawn_local(async move {
             let ended = match place {
                 Some(place) => {
-                    let ended = pool.attempt(id, place, &call, until, budget, cancelled).await;
+                    let ended = pool.attempt((id, begin_by), place, &call, until, budget, cancelled).await;
                     pool.0.core.borrow_mut().servers.leave(server, ended.outcome);
                     ended
                 }
@@ -605,7 +607,7 @@
 
     async fn attempt(
         &self,
-        id: RequestId,
+        (id, begin_by): (RequestId, Time),
         place: Place<U::Address>,
         call: &U::Call,
         until: Instant,
@@ -613,11 +615,12 @@
         cancelled: oneshot::Receiver<()>,
     ) -> Ended<U::Answer> {
         let (sent, server) = (Cell::new(false), place.server);
-        // A connection may take long to come up: by then the client may have gone, or have its answer.
+        // A connection may take long to come up: by then the client may have gone or have its answer, and servers may have
+        // forgotten the attempt that this one repeats.
         let lawful = || {
             let core = self.0.core.borrow();
             let owed = core.open.get(&id).is_some_and(|open| open.reply.is_some());
-            owed && core.servers.may_send(server, self.0.drain_grace.get())
+            owed && self.0.clock.now() <= begin_by && core.servers.may_send(server, self.0.drain_grace.get())
         };
         let gate = Gate::new(&sent, &lawful, until);
         let exchange = self.0.upstream.attempt(place, call, gate);
@@ -909,17 +912,29 @@
         LocalSet::new().run_until(test).await;
     }
 
-    /// Its connections come up when they are told to.
-    struct Slow(Rc<Notify>, Rc<Cell<Option<bool>>>);
+    /// Its connections come up when they are told to; so many requests are then read and their connections reset.
+    struct Slow {
+        up: Rc<Notify>,
+        breaks: Cell<u32>,
+        opened: Rc<RefCell<Vec<bool>>>,
+    }
 
     impl Upstream for Slow {
         type Address = u16;
         type Call = Nothing;
         type Answer = ();
         async fn attempt(&self, _: Place<u16>, _: &Nothing, gate: Gate<'_>) -> Ended<()> {
-            self.0.notified().await;
-            self.1.set(Some(gate.open()));
-            Outcome::NotSent.into()
+            self.up.notified().await;
+            let opens = gate.open();
+            self.opened.borrow_mut().push(opens);
+            match self.breaks.get() {
+                0 if opens => std::future::pending().await,
+                0 => Outcome::NotSent.into(),
+                left => {
+                    self.breaks.set(left - 1);
+                    Outcome::ConnectionReset.into()
+                }
+            }
         }
         async fn probe(&self, _: Place<u16>) -> Ended<()> {
             Outcome::TimedOut.into()
@@ -928,35 +943,72 @@
         fn retire(&self, _: &dyn Fn(ServerId, u64) -> bool) {}
     }
 
+    /// A pool whose class has this effect, what brings its connections up, and what the gate has said of each.
+    fn slow(effect: Effect, breaks: u32) -> (Pool<Slow>, Rc<Notify>, Rc<RefCell<Vec<bool>>>) {
+        let (up, opened) = (Rc::new(Notify::new()), Rc::default());
+        let mut settings = Settings::default();
+        settings.classes[0].effect = effect;
+        let members = vec![Member::serving("s", 80), Member::serving("t", 81)];
+        let pool = Pool::new(Setup {
+            name: "main".into(),
+            settings,
+            seed: 7,
+            names: ServerNames::default(),
+            known: Some(List { version: 1, whole: true, members }),
+            known_stands: true,
+            epoch: None,
+            upstream: Slow { up: Rc::clone(&up), breaks: Cell::new(breaks), opened: Rc::clone(&opened) },
+            requests: Quota::alone(9),
+        });
+        (pool.expect("usable"), up, opened)
+    }
+
     /// A client that has gone while a connection came up is sent nowhere; one that waits is.
     #[tokio::test(start_paused = true)]
     async fn nothing_begins_for_a_client_that_has_gone() {
         let test = async {
             for gone in [false, true] {
-                let (up, opened) = (Rc::new(Notify::new()), Rc::new(Cell::new(None)));
-                let known = List { version: 1, whole: true, members: vec![Member::serving("s", 80)] };
-                let pool = Pool::new(Setup {
-                    name: "main".into(),
-                    settings: Settings::default(),
-                    seed: 7,
-                    names: ServerNames::default(),
-                    known: Some(known),
-                    known_stands: true,
-                    epoch: None,
-                    upstream: Slow(Rc::clone(&up), Rc::clone(&opened)),
-                    requests: Quota::alone(9),
-                });
-                let owed = pool.expect("usable").submit(exchange("id")).expect("taken");
+                let (pool, up, opened) = slow(Effect::Idempotent, 0);
+                let owed = pool.submit(exchange("id")).expect("taken");
                 yield_now().await;
                 let kept = (!gone).then_some(owed);
                 up.notify_one();
-                while opened.get().is_none() {
+                while opened.borrow().is_empty() {
                     yield_now().await;
                 }
-                assert_eq!(opened.get(), Some(!gone));
+                assert_eq!(*opened.borrow(), [!gone]);
                 drop(kept);
             }
         };
         LocalSet::new().run_until(test).await;
     }
+
+    /// The window of a keyed class runs on while the repeat's connection comes up: nothing is sent after it.
+    #[tokio::test(start_paused = true)]
+    async fn no_repeat_begins_after_its_window() {
+        let window = Span::from_ms(450.0);
+        let test = async {
+            for (waited, begins) in [(449, true), (451, false)] {
+                let (pool, up, opened) = slow(Effect::Deduplicated { group: Group::All, window }, 1);
+                let owed = pool.submit(exchange("id")).expect("taken");
+                yield_now().await;
+                // Its server may have run it.
+                up.notify_one();
+                while opened.borrow().is_empty() {
+                    yield_now().await;
+                }
+                // The repeat has been decided, in time.
+                while pool.0.core.borrow().open[&owed.id].attempts < 2 {
+                    yield_now().await;
+                }
+                tokio::time::advance(Duration::from_millis(waited)).await;
+                up.notify_one();
+                while opened.borrow().len() < 2 {
+                    yield_now().await;
+                }
+                assert_eq!(*opened.borrow(), [true, begins], "after {waited} ms");
+            }
+        };
+        LocalSet::new().run_until(test).await;
+    }
 }
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -245,7 +245,8 @@
         let backend = |server: ServerId, names: &[Rc<str>]| names[server.0 as usize].to_string();
         let gone = || Outgoing::Bug { what: "an action for a request that is not open".into() };
         match action {
-            Action::Send { request, server, timeout_at } => {
+            // What is decided is sent there and then.
+            Action::Send { request, server, timeout_at, begin_by: _ } => {
                 let backend = backend(server, &self.server_names);
                 let Some((ticket, entry)) = self.ticket(request) else { return gone() };
                 entry.out += 1;
