Linger at the close of a client's connection while its answer may be under way

Read: a connection was closed right after its last answer (hyper's end, or a drop). Bytes that come after that, or lie unread, reset it, and what of the answer still waits at the agent's machine is lost: a request that crosses the close, what is left of a body that was turned away. Ruled out: small answers (sent at once, TCP_NODELAY); connections that rest (their answer went long before). To blame: server.rs converse, which dropped the socket with hyper's connection. It counts as leaving, so it makes room first, and at a stop the process waits for it. Test: loopback/stopping.rs what_crosses_the_close_does_not_take_the_answer_back (60 kB to a client with a small window, a request across the close); it failed without the mend.

--- a/crates/agent/src/seats.rs
+++ b/crates/agent/src/seats.rs
@@ -141,6 +141,15 @@
         self.enter(if leaves { Phase::Leaving } else { Phase::Waiting });
     }
 
+    /// It has nothing more to give; true if an answer may still be under way, and its client is given time to take it.
+    pub fn leave(&self) -> bool {
+        let lately = self.view.wrote_at().is_some_and(|at| at.elapsed() < LEAVE_WAIT);
+        if lately && self.phase.get() != Phase::Leaving {
+            self.enter(Phase::Leaving);
+        }
+        lately
+    }
+
     fn tell(&self, end: End) {
         if self.end.get() != Some(End::AtOnce) {
             self.end.set(Some(end));
@@ -154,6 +163,11 @@
         self.end.get().unwrap_or(End::Gently)
     }
 
+    /// Comes back when it is told to end now.
+    pub async fn ended_at_once(&self) {
+        while self.ended().await != End::AtOnce {}
+    }
+
     /// Whether its time is over.
     fn overdue(&self, now: Instant) -> Option<End> {
         let received = self.view.received();
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -12,7 +12,7 @@
 use crate::ops::Shown;
 use crate::seats::{End, Seat, Seats};
 use crate::upload::{Broken, Coming};
-use crate::wire::Wire;
+use crate::wire::{linger, Wire};
 use bytes::Bytes;
 use heronhoist_config::Protocol;
 use heronhoist_decision::Span;
@@ -37,6 +37,8 @@
 const CLOSE_WAIT: Duration = Duration::from_secs(1);
 /// Pause after an accept that failed for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// What a client goes on sending behind its last answer is read up to so many bytes.
+const LINGER_MOST: usize = 256 * 1024;
 /// How often connections whose time is over are looked for.
 const SWEEP_EVERY: Duration = Duration::from_millis(100);
 /// The largest head of a request, and its lines: hyper's own bounds would let a few hundred half heads fill the memory.
@@ -154,10 +156,17 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let (server, front, ticket) = (Rc::clone(self), Rc::clone(front), self.open.enter());
-                    let (wire, view) = Wire::of_client(stream, ticket);
+                    let (wire, view) = Wire::of_client(stream, ());
                     tokio::task::spawn_local(async move {
-                        let taken = server.seats.enter(view);
-                        server.converse(&front, &taken.seat, wire).await;
+                        let (taken, stream) = (server.seats.enter(view), wire.stream());
+                        let ended = server.converse(&front, &taken.seat, wire).await;
+                        if ended == End::Gently && taken.seat.leave() {
+                            tokio::select! {
+                                () = linger(&stream, LINGER_MOST) => {}
+                                () = taken.seat.ended_at_once() => {}
+                            }
+                        }
+                        drop((stream, ticket));
                     });
                 }
                 Err(e) => {
@@ -223,7 +232,8 @@
 }
 
 impl Server {
-    async fn converse(self: &Rc<Self>, front: &Rc<Front>, seat: &Rc<Seat>, wire: Wire) {
+    /// Serves a connection to its end; tells whether what it has been given last may still reach its client.
+    async fn converse(self: &Rc<Self>, front: &Rc<Front>, seat: &Rc<Seat>, wire: Wire) -> End {
         let service = service_fn(|request| {
             let (server, front, seat) = (Rc::clone(self), Rc::clone(front), Rc::clone(seat));
             async move {
@@ -246,8 +256,8 @@
         builder.header_read_timeout(None).max_buf_size(HEAD_MOST).max_headers(HEADERS_MOST);
         let mut connection = pin!(builder.serve_connection(wire, service));
         tokio::select! {
-            _ = connection.as_mut() => return,
-            end = seat.ended() => if end == End::AtOnce { return },
+            _ = connection.as_mut() => return End::Gently,
+            end = seat.ended() => if end == End::AtOnce { return end },
         }
         let gently = async {
             // A request that is on its way, or has come and was not read yet, must not be cut off by the close.
@@ -267,10 +277,9 @@
                 && (seat.is_busy() || self.stopping.get())
             {}
         };
-        let at_once = async { while seat.ended().await != End::AtOnce {} };
         tokio::select! {
-            () = gently => {}
-            () = at_once => {}
+            () = gently => End::Gently,
+            () = seat.ended_at_once() => End::AtOnce,
         }
     }
 
--- a/crates/agent/src/wire.rs
+++ b/crates/agent/src/wire.rs
@@ -37,6 +37,8 @@
     armed: Cell<Option<u64>>,
     /// Since when the peer has taken nothing of what waits to be written.
     stuck_since: Cell<Option<Instant>>,
+    /// When the machine has last taken something for sending.
+    wrote_at: Cell<Option<Instant>>,
     /// The requests that come, on a client's connection.
     requests: Option<RefCell<Requests>>,
     arrived: Notify,
@@ -51,6 +53,7 @@
         self.written.set(written);
         if bytes > 0 {
             self.stuck_since.set(None);
+            self.wrote_at.set(Some(Instant::now()));
         }
         let mut tally = self.tally.borrow_mut();
         if let Some((_, counters)) = tally.take_if(|(goal, _)| written >= *goal) {
@@ -85,6 +88,11 @@
         self.meter.written.get()
     }
 
+    /// When the machine has last taken something for sending.
+    pub fn wrote_at(&self) -> Option<Instant> {
+        self.meter.wrote_at.get()
+    }
+
     /// Bytes that have been read from the peer.
     pub fn received(&self) -> u64 {
         self.meter.received.get()
@@ -166,6 +174,24 @@
     matches!(peek(stream), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// Says that nothing more will be written, and reads on what nobody wants until the peer has closed too, or has sent more
+/// than `most`. A close over bytes that nobody has read resets the connection, as do bytes that come after it, and takes
+/// with it what of the last answer is still under way.
+pub async fn linger(stream: &TcpStream, mut most: usize) {
+    let _ = socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write);
+    loop {
+        if stream.readable().await.is_err() {
+            return;
+        }
+        let read = BETWEEN.with_borrow_mut(|between| stream.try_read(between));
+        match read {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Ok(n) if (1..=most).contains(&n) => most -= n,
+            Ok(_) | Err(_) => return,
+        }
+    }
+}
+
 /// The stream that hyper owns.
 pub struct Wire {
     stream: Rc<TcpStream>,
@@ -195,6 +221,13 @@
     }
 }
 
+impl Wire {
+    /// The socket, which stays open until this is dropped too.
+    pub fn stream(&self) -> Rc<TcpStream> {
+        Rc::clone(&self.stream)
+    }
+}
+
 impl Read for Wire {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/agent/tests/loopback/common.rs
+++ b/crates/agent/tests/loopback/common.rs
@@ -487,7 +487,10 @@
     }
 
     pub fn at(address: SocketAddr) -> Client {
-        let stream = TcpStream::connect(address).unwrap();
+        Client::over(TcpStream::connect(address).unwrap())
+    }
+
+    pub fn over(stream: TcpStream) -> Client {
         stream.set_read_timeout(Some(BOUND)).unwrap();
         let input = BufReader::new(stream.try_clone().unwrap());
         Client { stream, input }
--- a/crates/agent/tests/loopback/stopping.rs
+++ b/crates/agent/tests/loopback/stopping.rs
@@ -123,3 +123,36 @@
     assert_eq!(slow.read().map(|m| m.status()), Some(200));
     assert_eq!(agent.ended(), Some(0));
 }
+
+/// A close resets the connection if something comes after it, and a client that reads slowly would lose the rest of its
+/// answer: what crosses the close is read and thrown away, and goes to no server.
+#[test]
+fn what_crosses_the_close_does_not_take_the_answer_back() {
+    const LONG: usize = 60_000;
+    let backend =
+        Backend::new(|m| if m.path().starts_with("/once") { ok(&"y".repeat(LONG)) } else { ok("x") });
+    let line = serving("s", backend.address);
+    let discovery = Discovery::new(line.clone());
+    let mut agent = Agent::start(&with_ops(&config(discovery.address, &line, SETTINGS, 1024)));
+    let mut idle = Client::to(&agent);
+    assert_eq!(idle.ask(&request("read", 9000)).status(), 200);
+    // What it has not read stays with the agent's machine.
+    let small = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    small.set_recv_buffer_size(2048).unwrap();
+    small.connect(&agent.address.into()).unwrap();
+    let mut slow = Client::over(small.into());
+    assert_eq!(idle.ask(&request("read", 9000)).status(), 200);
+    agent.terminate();
+    assert!(idle.read().is_none());
+    slow.write(&request("once", 9000));
+    backend.heard.wait(3);
+    agent.wait_figure("app_served_total{class=\"once\"}", 1.0);
+    agent.wait_figure("app_in_flight", 0.0);
+    slow.write(&request("read", 9000));
+    let answer = slow.read().expect("all of its answer");
+    assert_eq!((answer.header("Connection"), answer.body.len()), (Some("close"), LONG));
+    assert!(slow.read().is_none());
+    drop(slow);
+    assert_eq!(agent.ended(), Some(0));
+    assert_eq!(backend.heard.all().len(), 3);
+}
