Judge cold servers by their budget at 5 to 300 agents, and mind the process's own limit on descriptors

Cold servers: a burst before the window is over was not judged. Descriptors: the file's number was believed where the process may hold fewer, so its reserve was none. The lesser counts now. Test: idle_clients_do_not_keep_the_agent_from_discovery (150 clients that stay and 150 that say nothing, 100 descriptors, discovery down). Also a start without discovery is ready by the list it was given (test only).

--- a/check.sh
+++ b/check.sh
@@ -23,6 +23,11 @@
         echo "0 scenarios/fleet-$scenario.toml --seeds 1"
     done
     echo "1 scenarios/fleet-burst.toml --seeds 1 --set agents.balancers=3"
+    # What all agents together send to cold servers, however many they are; agents that each act as if alone.
+    for agents in 5 20 30 100 300; do
+        echo "0 scenarios/cold-ramp.toml --seeds 1 --set agents.count=$agents"
+    done
+    echo "1 scenarios/cold-ramp.toml --seeds 1 --set agents.count=100 --set agents.balancers=1"
     # Memory stays flat while servers come and go; agents that keep a little of each attempt.
     echo "0 scenarios/soak.toml --seeds 1 --set length_ms=240000"
     echo "1 scenarios/soak.toml --seeds 1 --set length_ms=240000 --set agents.leak_bytes=200"
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -67,7 +67,10 @@
 impl Limits {
     /// What one process may hold while so many share these: descriptors and memory are counted together.
     pub fn of(&self, sharers: usize) -> Allotment {
-        let sockets = self.sockets.unwrap_or(SOCKETS_DEFAULT) / sharers;
+        // What the file promises is no help where the process may not hold as many.
+        let allowed = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        let allowed = allowed.map_or(usize::MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
+        let sockets = self.sockets.unwrap_or(SOCKETS_DEFAULT).min(allowed) / sharers;
         let memory = self.memory_mb.unwrap_or(MEMORY_DEFAULT).max(MEMORY_LEAST) * 1024.0 * 1024.0;
         let memory = memory / sharers as f64;
         let usable = sockets.saturating_sub(RESERVE).max(USABLE_LEAST);
--- a/crates/agent/tests/loopback/limits.rs
+++ b/crates/agent/tests/loopback/limits.rs
@@ -136,3 +136,31 @@
     assert!(crowd[0].read().is_none(), "the one that has rested longest is closed");
     assert_eq!(Client::to(&agent).ask(&request("read", 9000)).status(), 200);
 }
+
+/// Clients that stay may take what descriptors the process really has while discovery is down: it is reached again when it
+/// returns all the same, new clients are served, and the servers it names are connected to.
+#[test]
+fn idle_clients_do_not_keep_the_agent_from_discovery() {
+    let (old, new) = (Backend::new(|_| ok("old")), Backend::new(|_| ok("new")));
+    let line = serving("s0", old.address);
+    let discovery = Discovery::new(line.clone());
+    discovery.set_down(true);
+    let settings = SETTINGS.replace("on_request", "pushed");
+    // The configuration promises more than the shell's limit lets the process have.
+    let agent = Agent::start_limited(&config(discovery.address, &line, &settings, 1024), 100);
+    let mut crowd = Vec::new();
+    for _ in 0..150 {
+        let mut client = Client::to(&agent);
+        // Those that are let go of have had their answer.
+        assert_eq!(client.ask(&request("read", 9000)).body, b"old");
+        crowd.push(client);
+    }
+    let silent: Vec<Client> = (0..150).map(|_| Client::to(&agent)).collect();
+    let asked = discovery.asked.all().len();
+    discovery.change(serving("s1", new.address));
+    discovery.set_down(false);
+    // The answer to the first brings the news.
+    discovery.asked.wait(asked + 2);
+    assert_eq!(Client::to(&agent).ask(&request("read", 9000)).body, b"new");
+    drop((crowd, silent));
+}
--- a/crates/agent/tests/loopback/lists.rs
+++ b/crates/agent/tests/loopback/lists.rs
@@ -208,3 +208,20 @@
         }
     }
 }
+
+/// A process that starts while discovery is down, as hundreds may at once, serves by the list that it was given.
+#[test]
+fn a_start_without_discovery_is_ready_by_the_list_it_was_given() {
+    let backend = Backend::new(|_| ok("x"));
+    let (line, silent) = (serving("s", backend.address), std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let ready = "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    for (way, discovery) in
+        [("on_request", nobody), ("pushed", nobody), ("pushed", silent.local_addr().unwrap())]
+    {
+        let agent = Agent::start(&config(discovery, &line, &SETTINGS.replace("on_request", way), 1024));
+        let mut client = Client::to(&agent);
+        assert_eq!(client.ask(ready).status(), 200, "{way}");
+        assert_eq!(client.ask(&request("read", 9000)).status(), 200, "{way}");
+    }
+}
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -327,7 +327,9 @@
     let events = events(reader, &mut root, servers, number.unwrap_or(usize::MAX), length.unwrap_or(0));
     reader.end(root);
     let (mixes, terms): (Vec<ClassMix>, Vec<Class>) = classes?.into_iter().unzip();
-    let (fleet, tenants) = (fleet?, tenants?);
+    let (mut fleet, tenants) = (fleet?, tenants?);
+    let parts: f64 = mixes.iter().map(|mix| mix.share).sum();
+    fleet.kind.mean_work = mixes.iter().map(|mix| mix.share / parts * mix.work as f64).sum();
     let settings = Settings {
         balancers: told.or(number)? as u32,
         classes: terms,
@@ -400,6 +402,7 @@
         warm_work,
         overload_factor: 3.0,
         fall_after: 3_000_000,
+        mean_work: 0.0,
     };
     let (slow, noisy) = ((slow.0?, slow.1?), (noisy.0?, noisy.1?));
     Some(Fleet { servers: servers?, buildings: buildings?, kind, one_way: one_way?, slow, noisy })
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -35,6 +35,9 @@
     pub overload_factor: f64,
     /// for this long falls over.
     pub fall_after: Micros,
+    /// The mean work of a request, in microseconds: so many of them as it may be sent within that time are a budget, and of
+    /// what comes beyond it before the time has passed, twice its root and two are chance.
+    pub mean_work: f64,
 }
 
 /// What becomes of a request that reaches a server.
@@ -101,9 +104,11 @@
     offered: VecDeque<Offered>,
     sent: f64,
     reports: VecDeque<(Micros, [f64; 3])>,
-    /// How often it has fallen over, and how often of these by those who knew that it was cold: two thirds of what it was
-    /// sent came from them.
+    /// How often it has fallen over, and in how many of its lives those who knew that it was cold have spent its budget, or
+    /// made it fall: two thirds of what it was sent came from them.
     pub falls: (u32, u32),
+    /// That has been counted in this life.
+    burst: bool,
     /// The most connections that it held at once.
     pub most_open: usize,
     /// The greatest multiple of what it bears in such a window that it was sent while it was cold; it falls at the
@@ -131,6 +136,7 @@
             sent: 0.0,
             reports: VecDeque::new(),
             falls: (0, 0),
+            burst: false,
             most_open: 0,
             worst_push: 0.0,
         }
@@ -220,10 +226,8 @@
             Reach::Silent => return Fate::Silent,
         }
         if self.falls_over(now, work, told) {
-            let knew: f64 =
-                self.offered.iter().filter(|offered| offered.told).map(|offered| offered.work).sum();
             self.falls.0 += 1;
-            self.falls.1 += u32::from(knew >= self.sent * 2.0 / 3.0);
+            self.falls.1 += u32::from(!self.burst && self.was_known());
             self.kill();
             return Fate::Down;
         }
@@ -274,6 +278,12 @@
         self.begin(now);
     }
 
+    /// Whether two thirds of what it was sent came from those who knew that it was cold.
+    fn was_known(&self) -> bool {
+        let told = self.offered.iter().filter(|offered| offered.told);
+        told.map(|offered| offered.work).sum::<f64>() >= self.sent * 2.0 / 3.0
+    }
+
     /// Whether this request is what a cold server can't bear any more.
     fn falls_over(&mut self, now: Micros, work: Micros, told: bool) -> bool {
         if self.warmth(now) >= 1.0 {
@@ -287,7 +297,7 @@
             self.offered.pop_front();
             self.sent -= old.work;
         }
-        // It is pushed for the whole time or not at all.
+        // It falls if it is pushed for the whole time; one short burst before may have spent its budget all the same.
         let long = self.started.is_some_and(|started| now - started >= self.kind.fall_after);
         // It warms evenly, so what it could do meanwhile is the mean of the beginning and the end.
         let mean = (self.capacity(from) + self.capacity(now)) / 2.0;
@@ -295,7 +305,14 @@
         if long {
             self.worst_push = self.worst_push.max(self.sent / bears.max(1e-9));
         }
-        long && self.sent > self.kind.overload_factor * bears
+        let budget = self.kind.overload_factor * bears;
+        let mean_work = self.kind.mean_work / SECOND;
+        let chance = (2.0 * (budget / mean_work).sqrt() + 2.0) * mean_work;
+        if !self.burst && self.sent > budget + chance && self.was_known() {
+            self.burst = true;
+            self.falls.1 += 1;
+        }
+        long && self.sent > budget
     }
 
     /// Dies with all that it holds.
@@ -305,7 +322,7 @@
         self.open = 0;
         self.done = 0;
         self.choked = None;
-        self.sent = 0.0;
+        (self.sent, self.burst) = (0.0, false);
         self.running.clear();
         self.waiting.clear();
         self.offered.clear();
@@ -392,6 +409,7 @@
             warm_work: None,
             overload_factor: 3.0,
             fall_after: 3_000_000,
+            mean_work: 10_000.0,
         }
     }
 
@@ -454,6 +472,22 @@
         );
     }
 
+    /// A burst right after its start spends the budget of the whole time: 3 times 0.4 cores for 3 s are 360 requests of
+    /// 10 ms, and 39 more are chance.
+    #[test]
+    fn a_burst_at_the_start_is_counted_against_the_budget() {
+        let counted = |count: u64, told: bool| {
+            let mut server = Server::new(kind());
+            server.start(0);
+            for n in 0..count {
+                server.offer(0, n, 10_000, told);
+            }
+            server.falls
+        };
+        assert_eq!([counted(399, true), counted(400, true), counted(900, true)], [(0, 0), (0, 1), (0, 1)]);
+        assert_eq!(counted(900, false), (0, 0), "nobody knew");
+    }
+
     #[test]
     fn a_cold_server_warms() {
         let mut server = Server::new(kind());
