--- a/crates/agent/src/discovery.rs
+++ b/crates/agent/src/discovery.rs
@@ -142,36 +142,36 @@
 }
 
 /// A kept connection to discovery; it is closed when this is dropped.
-struct Line {
+struct Connection {
     sender: SendRequest<Empty<Bytes>>,
     task: AbortHandle,
 }
 
-impl Drop for Line {
+impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<Line> {
+async fn connect(address: SocketAddr) -> Option<Connection> {
     let stream = timeout(CONNECT_WAIT, TcpStream::connect(address)).await.ok()?.ok()?;
     let (wire, _) = Wire::new(stream, ());
     let (sender, connection) = http1::handshake(wire).await.ok()?;
     let task = tokio::task::spawn_local(async move {
         let _ = connection.await;
     });
-    Some(Line { sender, task: task.abort_handle() })
+    Some(Connection { sender, task: task.abort_handle() })
 }
 
 /// One call, of whose answer the head has so much time; `None` if it failed in whatever way.
 async fn call(
     address: SocketAddr,
-    line: &mut Option<Line>,
+    connection: &mut Option<Connection>,
     path: &str,
     head_wait: Duration,
 ) -> Option<ListReply> {
-    // A line that discovery has closed between two calls is no failure of the next one.
-    let mut kept = line.take().filter(|l| l.sender.is_ready());
+    // A connection that discovery has closed between two calls is no failure of the next one.
+    let mut kept = connection.take().filter(|l| l.sender.is_ready());
     if kept.is_none() {
         kept = connect(address).await;
     }
@@ -184,7 +184,7 @@
     let body = timeout(LIST_WAIT, whole(answer.into_body())).await.ok()??;
     let list = serde_json::from_slice(&body).ok()?;
     if timeout(Duration::from_millis(50), kept.sender.ready()).await.is_ok_and(|r| r.is_ok()) {
-        *line = Some(kept);
+        *connection = Some(kept);
     }
     Some(list)
 }
@@ -219,10 +219,10 @@
             }
             loop {
                 let address = *source.borrow_and_update();
-                let asking = Asking { feed: &feed, address, old_kinds: &old_kinds };
+                let client = Client { feed: &feed, address, old_kinds: &old_kinds };
                 tokio::select! {
-                    () = asking.watch(pushed) => return,
-                    () = asking.fetch() => return,
+                    () = client.watch(pushed) => return,
+                    () = client.fetch() => return,
                     // The calls that are out end here: what the old source still answers must not overwrite the new
                     // list.
                     moved = source.changed() => if moved.is_err() { return },
@@ -233,14 +233,14 @@
     }
 }
 
-/// The calls to one source.
-struct Asking<'a> {
+/// Calls one source.
+struct Client<'a> {
     feed: &'a Feed<SocketAddr>,
     address: SocketAddr,
     old_kinds: &'a [String],
 }
 
-impl Asking<'_> {
+impl Client<'_> {
     /// Hands a list over; false if it was older than the one that stands.
     fn tell(&self, reply: ListReply) -> bool {
         let mut list = List::from(reply);
@@ -253,11 +253,11 @@
     /// Watches as long as the module follows the list. Where lists are pushed the watch is the push: it runs at
     /// all times, and a failure is no news to the module, which has asked for nothing.
     async fn watch(&self, pushed: bool) {
-        let mut line = None;
+        let mut connection = None;
         // A new source owes nothing to the version of the old one: it is asked for the whole list first, whatever
         // the module is waiting for, until it has answered. What is known stands till then.
         while self.feed.version().is_none() {
-            match call(self.address, &mut line, LIST_PATH, MOVED_WAIT).await {
+            match call(self.address, &mut connection, LIST_PATH, MOVED_WAIT).await {
                 Some(list) => {
                     self.tell(ListReply { all: true, ..list });
                 }
@@ -271,7 +271,7 @@
                 format!("{LIST_PATH}?from={}&hold_ms={}", version.unwrap_or_default(), HOLD.as_millis());
             let asked = Instant::now();
             let answer = tokio::select! {
-                answer = call(self.address, &mut line, &path, HOLD + HEAD_WAIT) => answer,
+                answer = call(self.address, &mut connection, &path, HOLD + HEAD_WAIT) => answer,
                 () = self.feed.followed(false) => continue,
             };
             match answer {
