--- /dev/null
+++ b/crates/agent/src/backend/tests.rs
@@ -0,0 +1,153 @@
+use super::*;
+use crate::connections::Siblings;
+use heronhoist_engine::Quota;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+fn of(most: usize, fields: &[&str]) -> Rc<Inner> {
+    let fields: Vec<String> = fields.iter().map(|f| f.to_string()).collect();
+    let has_reports = !fields.is_empty();
+    let (connect, keepalive) = (Duration::from_secs(20), Duration::from_secs(60));
+    let connections = Connections::new(Quota::alone(most), &Rc::new(Siblings::default()), connect, keepalive);
+    Http::new(connections, Quota::alone(1 << 20), fields, has_reports).0
+}
+
+fn post(body: usize) -> Call {
+    let (uri, headers) = (Uri::from_static("/x"), HeaderMap::new());
+    Call {
+        method: Method::POST,
+        uri,
+        headers,
+        body: Payload::Held(vec![7; body].into()),
+        old: None,
+        budget: Duration::from_secs(60),
+        counters: None,
+        _portion: None,
+    }
+}
+
+async fn attempt(address: SocketAddr, body: usize) -> Outcome {
+    attempt_of(&of(4, &[]), address, body).await
+}
+
+async fn attempt_of(backends: &Inner, address: SocketAddr, body: usize) -> Outcome {
+    gated(backends, address, body, true).await
+}
+
+async fn gated(backends: &Inner, address: SocketAddr, body: usize, may_send: bool) -> Outcome {
+    let place = Place { server: ServerId(0), address, life: 0, dialect: NEW };
+    let (sent, lawful) = (Cell::new(false), || may_send);
+    let gate = Gate::new(&sent, &lawful, Instant::now() + Duration::from_secs(60));
+    backends.attempt(place, &post(body), &gate).await.outcome
+}
+
+/// The drain rule counts a send from its first byte: what was decided before may come too late to go.
+#[tokio::test]
+async fn nothing_is_written_once_it_may_not_be_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let local = LocalSet::new();
+    assert_eq!(local.run_until(gated(&of(4, &[]), address, 9, false)).await, Outcome::NotSent);
+    drop(local);
+    let (mut stream, _) = listener.accept().await.unwrap();
+    assert_eq!(stream.read(&mut [0; 1]).await.unwrap_or(0), 0);
+}
+
+/// The cap on connections: when all are at work nothing more is opened, and the server is not blamed.
+#[tokio::test]
+async fn past_the_cap_nothing_is_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let backends = of(1, &[]);
+    let both = async {
+        tokio::select! {
+            biased;
+            outcome = attempt_of(&backends, address, 9) => panic!("silence gave {outcome:?}"),
+            outcome = attempt_of(&backends, address, 9) => outcome,
+        }
+    };
+    let outcome = timeout(Duration::from_secs(20), LocalSet::new().run_until(both)).await;
+    assert_eq!(outcome.ok(), Some(Outcome::NotSent));
+    // What the first held is free again.
+    tokio::task::yield_now().await;
+    assert_eq!(backends.connections.count(), 0);
+}
+
+/// More than the two sockets can hold, to a peer that closes: the last byte is provably not written.
+#[tokio::test]
+async fn a_break_before_the_last_byte_never_ran() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let peer = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 1]).await;
+    };
+    let both = async { tokio::join!(attempt(address, 64 << 20), peer).0 };
+    assert_eq!(LocalSet::new().run_until(both).await, Outcome::ConnectFailed);
+}
+
+/// A server that ends each new connection before anything could be written gets no storm of them.
+#[tokio::test]
+async fn a_new_connection_that_ends_at_once_is_not_repeated() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut accepted = 0;
+    // Closes each connection before the runtime hears that it is up.
+    let peer = async {
+        while accepted < 20 {
+            while listener.accept().is_ok() {
+                accepted += 1;
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    let outcome = LocalSet::new()
+        .run_until(async {
+            tokio::select! {
+                biased;
+                outcome = attempt(address, 9) => Some(outcome),
+                () = peer => None,
+            }
+        })
+        .await;
+    assert_eq!(outcome, Some(Outcome::ConnectFailed), "after {accepted} connections");
+    assert_eq!(accepted, 1);
+}
+
+/// A machine that is cut off says nothing; the connect must not wait for ever, and nothing has run.
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_never_comes_up_fails_in_time() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    // What fills the queue is answered; what comes after it is not.
+    let mut queue = Vec::new();
+    for _ in 0..8 {
+        let filler = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        filler.set_nonblocking(true).unwrap();
+        let _ = filler.connect(&address.into());
+        queue.push(filler);
+    }
+    assert_eq!(LocalSet::new().run_until(attempt(address, 9)).await, Outcome::ConnectFailed);
+}
+
+#[test]
+fn a_report_is_read_by_name_and_a_malformed_one_is_none() {
+    let backends = of(4, &["qps", "queue"]);
+    assert_eq!(backends.report(b" queue=2, util=0.6,qps=7"), Some(vec![7.0, 2.0]));
+    for bad in [
+        "",
+        "queue=2",
+        "queue=2,qps",
+        "queue=2,qps=x",
+        "queue=2,qps=NaN",
+        "queue=2,qps=-1",
+        "queue=1e9,qps=1",
+        "\u{ff}",
+    ] {
+        assert_eq!(backends.report(bad.as_bytes()), None, "{bad:?}");
+    }
+}
--- /dev/null
+++ b/crates/agent/src/config/tests.rs
@@ -0,0 +1,79 @@
+use super::*;
+
+const SETTINGS: &str = r#"{"classes":[{"name":"read","aimMs":200.0,"deadlineMs":400.0,"points":1.0}]}"#;
+
+fn parse(text: &str) -> Result<Config, String> {
+    Config::parse(text.as_bytes(), Places::default())
+}
+
+#[test]
+fn addresses_seed_and_caps_are_read() {
+    let text = format!(
+        r#"{{"listen":"127.0.0.1:80","discovery":"127.0.0.1:81","seed":"8c1f30d27a5be964","settings":{SETTINGS},
+            "limits":{{"sockets":1024,"cores":1.0}},"peers":[]}}"#
+    );
+    let config = parse(&text).expect("usable");
+    assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
+    for sharers in 1..=3 {
+        let budget = config.limits().of(sharers);
+        let held = budget.clients.open_most + budget.room.connections + RESERVE;
+        assert!(held * sharers <= 1024, "{sharers}");
+    }
+    let small = text.replace("\"cores\"", "\"memory_mb\":32,\"cores\"");
+    let small = parse(&small).expect("usable");
+    let budget = small.limits().of(1);
+    let held = budget.clients.open_most as f64 * CLIENT_BYTES + budget.room.body_bytes as f64;
+    assert!(held <= 16.0 * 1024.0 * 1024.0 && budget.clients.open_most > 250);
+    assert!(small.limits().of(2).room.body_bytes * 2 <= budget.room.body_bytes);
+    let over =
+        Config::parse(text.as_bytes(), Places { listen: Some("127.0.0.2:90".into()), ..Places::default() })
+            .expect("usable");
+    assert_eq!(over.fronts[0].listen.to_string(), "127.0.0.2:90");
+}
+
+/// A file that has lost something is turned down with the name of what it lacks.
+#[test]
+fn a_new_file_is_taken_whole_or_not_at_all() {
+    let text = r#"{"listen":"127.0.0.1:80","discovery":"127.0.0.1:81","known":{"rev":1,"targets":[]},"settings":{
+            "classes":[{"name":"read","effect":"idempotent","aimMs":200.0,"deadlineMs":400.0,"points":1.0}],
+            "limits":{"maxAttempts":3},"rules":{"coldShare":0.3}}}"#;
+    let old = read(text.as_bytes()).expect("readable");
+    let check = |text: &str| Config::check(&old, text.as_bytes());
+    let moved = check(&text.replace("127.0.0.1:81", "127.0.0.1:82")).expect("usable");
+    assert_eq!(moved.plan.pools[0].members, Members::Discovery(([127, 0, 0, 1], 82).into()));
+    assert!(check(&text.replace(r#""known":{"rev":1,"targets":[]},"#, "")).is_ok());
+    for (old, new, fault) in [
+        (text, "", "empty"),
+        (text, " \n", "empty"),
+        (text, &text[..text.len() / 2], "not a configuration"),
+        (text, "[]", "missing"),
+        ("\"discovery\"", "\"discover\"", "discovery is missing"),
+        ("\"settings\"", "\"setting\"", "settings is missing"),
+        ("\"classes\"", "\"class\"", "settings.classes is missing"),
+        ("\"maxAttempts\"", "\"attempts\"", "settings.limits.maxAttempts is missing"),
+        ("\"coldShare\"", "\"cold\"", "settings.rules.coldShare is missing"),
+        ("\"deadlineMs\"", "\"deadline\"", "deadlineMs of a class is missing"),
+        ("\"effect\"", "\"affect\"", "effect of a class is missing"),
+        ("400.0", "0", "deadline"),
+        ("400.0", "-400.0", "deadline"),
+        ("400.0", "null", "not a configuration"),
+        ("400.0", "\"soon\"", "not a configuration"),
+        ("\"maxAttempts\":3", "\"maxAttempts\":0", "attempt"),
+        ("\"maxAttempts\":3", "\"maxAttempts\":-1", "not a configuration"),
+        ("\"maxAttempts\":3", "\"maxAttempts\":null", "maxAttempts"),
+    ] {
+        let said = check(&text.replace(old, new)).err().expect(new);
+        assert!(said.contains(fault), "{new}: {said}");
+    }
+}
+
+#[test]
+fn what_cannot_be_used_is_refused_with_a_reason() {
+    let with = |rest: &str| parse(&format!(r#"{{"settings":{SETTINGS}{rest}}}"#)).err().expect("refused");
+    assert!(parse("{").err().expect("refused").contains("not a configuration"));
+    assert!(with("").contains("no listen address"));
+    assert!(with(r#","listen":"here:80""#).contains("here:80"));
+    let few = with(r#","listen":"127.0.0.1:80","discovery":"127.0.0.1:81","limits":{"sockets":9}"#);
+    assert!(few.contains("at least"), "{few}");
+    assert!(parse(r#"{"settings":{"classes":[]}}"#).err().expect("refused").contains("class"));
+}
--- /dev/null
+++ b/crates/agent/src/metrics/tests.rs
@@ -0,0 +1,58 @@
+use super::*;
+
+const NONE: Levels = Levels { known: 0, excluded: 0, open: 0 };
+
+#[test]
+fn what_was_counted_stands_on_the_page() {
+    let metrics = Metrics::default();
+    let lookup = metrics.class("lookup");
+    (0..3).for_each(|_| lookup.end(Outcome::Served));
+    lookup.attempts.add();
+    metrics.reloads_failed.add();
+    metrics.times("main", "lookup").note(Outcome::Served, Duration::from_millis(7));
+    let ticket = metrics.take();
+    let page = metrics.render(&Levels { known: 12, excluded: 2, open: 0 });
+    for line in [
+        "# TYPE app_served_total counter",
+        "app_served_total{class=\"lookup\"} 3",
+        "app_refused_total{class=\"lookup\"} 0",
+        "app_attempts_total{class=\"lookup\"} 1",
+        "# TYPE app_in_flight gauge",
+        "app_in_flight 1",
+        "app_record_servers_known 12",
+        "app_record_servers_excluded 2",
+        "app_reloads_ok_total 0",
+        "app_reloads_failed_total 1",
+        "# TYPE app_request_seconds histogram",
+        "app_request_seconds_bucket{class=\"lookup\",outcome=\"served\",pool=\"main\",le=\"0.005\"} 0",
+        "app_request_seconds_bucket{class=\"lookup\",outcome=\"served\",pool=\"main\",le=\"0.01\"} 1",
+        "app_request_seconds_count{class=\"lookup\",outcome=\"served\",pool=\"main\"} 1",
+    ] {
+        assert!(page.lines().any(|l| l == line), "{line} is not in\n{page}");
+    }
+    drop(ticket);
+    assert!(metrics.render(&NONE).contains("app_in_flight 0\n"));
+}
+
+/// A class that vanishes and comes back goes on counting, and any name is a legal label.
+#[test]
+fn counters_outlive_their_class_and_labels_are_escaped() {
+    let metrics = Metrics::default();
+    metrics.class("a\"b\\c\nd").end(Outcome::Served);
+    metrics.class("a\"b\\c\nd").end(Outcome::Served);
+    assert!(metrics.render(&NONE).contains("app_served_total{class=\"a\\\"b\\\\c\\nd\"} 2\n"));
+}
+
+#[test]
+fn names_without_end_do_not_fill_the_memory() {
+    let metrics = Metrics::default();
+    (0..3 * CLASSES_MOST).for_each(|n| {
+        metrics.class(&format!("c{n}")).end(Outcome::Served);
+        metrics.times(&format!("p{n}"), "c").note(Outcome::Served, Duration::ZERO);
+    });
+    assert_eq!(metrics.classes.borrow().len(), CLASSES_MOST + 1);
+    assert_eq!(metrics.timed.borrow().len(), TIMED_MOST + 1);
+    assert!(metrics
+        .render(&NONE)
+        .contains(&format!("app_served_total{{class=\"other\"}} {}\n", 2 * CLASSES_MOST)));
+}
--- a/crates/agent/src/rest.rs
+++ b/crates/agent/src/rest.rs
@@ -84,24 +84,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[tokio::test(start_paused = true)]
-    async fn an_age_that_breaks_is_avoided_for_a_while_and_chance_is_not() {
-        let rest = Rest::new(Duration::from_secs(8));
-        let ms = Duration::from_millis;
-        for n in 0..100 {
-            rest.note(ms(5), n % 10 == 0);
-            rest.note(ms(90), n % 10 == 0);
-        }
-        assert_eq!(rest.limit(), Duration::from_secs(8), "breaks at any age say nothing of the age");
-        for n in 0..8 {
-            rest.note(ms(300), n % 2 == 0);
-        }
-        assert_eq!(rest.limit(), ms(256));
-        tokio::time::advance(Duration::from_secs(120)).await;
-        rest.note(ms(5), false);
-        assert_eq!(rest.limit(), Duration::from_secs(8), "and it is tried again");
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/engine/src/membership/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+use std::cell::RefCell;
+
+#[derive(Default)]
+struct Notes(RefCell<Vec<(i64, usize)>>, Cell<u32>);
+
+impl Heard<u16> for Notes {
+    fn listed(&self, list: List<u16>) {
+        self.0.borrow_mut().push((list.version, list.members.len()));
+    }
+    fn failed(&self) {
+        self.1.set(self.1.get() + 1);
+    }
+}
+
+/// A watch and a fetch can cross: whatever is older than what stands must not undo a drain.
+#[test]
+fn an_older_list_does_not_pass_but_another_sources_does() {
+    let notes = Rc::new(Notes::default());
+    let feed = Feed::new(Rc::clone(&notes) as Rc<dyn Heard<u16>>, Rc::default(), Some(5));
+    let list = |version| List { version, whole: true, members: vec![Member::serving("a", 1)] };
+    assert!(!feed.listed(list(4)) && feed.listed(list(5)) && feed.listed(list(9)) && !feed.listed(list(8)));
+    feed.new_source();
+    assert!(feed.listed(list(2)) && !feed.listed(list(1)));
+    assert_eq!(*notes.0.borrow(), [(5, 1), (9, 1), (2, 1)]);
+    feed.failed();
+    assert_eq!(notes.1.get(), 1);
+}
+
+#[tokio::test]
+async fn a_fixed_list_is_told_at_once_and_at_each_change() {
+    let notes = Rc::new(Notes::default());
+    let feed = Feed::new(Rc::clone(&notes) as Rc<dyn Heard<u16>>, Rc::default(), None);
+    let (tell, told) = watch::channel(vec![Member::serving("a", 1)]);
+    let run = Box::new(Fixed::new(told)).run(feed);
+    let change = async {
+        tokio::task::yield_now().await;
+        tell.send_replace(vec![Member::serving("a", 1), Member::serving("b", 2)]);
+        while notes.0.borrow().len() < 2 {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::select! { () = run => unreachable!(), () = change => {} }
+    assert_eq!(*notes.0.borrow(), [(1, 1), (2, 2)]);
+}
--- /dev/null
+++ b/crates/engine/src/pool/tests.rs
@@ -0,0 +1,220 @@
+use super::*;
+use crate::membership::Member;
+use crate::quota::Quota;
+use tokio::task::{yield_now, LocalSet};
+
+/// Its servers never answer.
+struct Mute;
+struct Nothing;
+impl Payload for Nothing {}
+
+impl Upstream for Mute {
+    type Address = u16;
+    type Call = Nothing;
+    type Answer = ();
+    async fn attempt(&self, _: Place<u16>, _: &Nothing, gate: Gate<'_>) -> Ended<()> {
+        gate.open();
+        std::future::pending().await
+    }
+    async fn probe(&self, _: Place<u16>) -> Ended<()> {
+        Outcome::TimedOut.into()
+    }
+    fn close_idle(&self, _: ServerId) {}
+    fn retire(&self, _: &dyn Fn(ServerId, u64) -> bool) {}
+}
+
+fn pool(known: bool, most: usize) -> Pool<Mute> {
+    let known = known.then(|| List { version: 1, whole: true, members: vec![Member::serving("s", 80)] });
+    Pool::new(Setup {
+        name: "main".into(),
+        settings: Settings::default(),
+        seed: 7,
+        names: ServerNames::default(),
+        known,
+        known_stands: true,
+        epoch: None,
+        upstream: Mute,
+        requests: Quota::alone(most),
+    })
+    .expect("usable")
+}
+
+fn exchange(name: &str) -> Exchange<Nothing> {
+    let name = Some(name.as_bytes().into());
+    Exchange { name, ..Exchange::new(Nothing, ClassId(0), Duration::from_secs(60)) }
+}
+
+/// Guards the module's counts of what is in flight: a request that ends right after one of its attempts was
+/// called off must not be forgotten before that attempt's outcome is told.
+#[tokio::test]
+async fn an_attempt_called_off_is_reported_though_its_request_has_ended() {
+    let test = async {
+        let pool = pool(true, 9);
+        let owed = pool.submit(exchange("id")).expect("taken");
+        let id = owed.id;
+        let cancel = Action::Cancel { request: id, attempt: AttemptNo(0) };
+        pool.perform(vec![cancel, Action::Fail { request: id }]);
+        assert!(matches!(owed.answer(|deadline| deadline).await, Final::Failed));
+        assert!(pool.0.core.borrow().open.contains_key(&id), "its outcome has not been told");
+        assert_eq!(pool.submit(exchange("id")).err(), Some(Declined::NameInUse));
+        while pool.levels().open > 0 {
+            yield_now().await;
+        }
+        assert!(pool.submit(exchange("id")).is_ok(), "its name is free again");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Nothing is answered twice, and nothing is kept of a request that is over.
+#[tokio::test]
+async fn the_first_answer_is_the_only_one() {
+    let test = async {
+        let pool = pool(true, 9);
+        let owed = pool.submit(exchange("id")).expect("taken");
+        let id = owed.id;
+        pool.perform(vec![Action::Fail { request: id }, Action::Refuse { request: id, retry_after: None }]);
+        assert!(matches!(owed.answer(|deadline| deadline).await, Final::Failed));
+        pool.perform(vec![Action::Cancel { request: id, attempt: AttemptNo(0) }]);
+        while pool.levels().open > 0 {
+            yield_now().await;
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// A client that waits for 23 ms gets nearly all of them for its attempt, and its answer in time.
+#[tokio::test(start_paused = true)]
+async fn a_short_budget_is_not_spent_on_reserves() {
+    let test = async {
+        let (pool, begun, budget) = (pool(true, 9), Instant::now(), Duration::from_millis(23));
+        let mut settings = Settings::default();
+        settings.classes[0].aim = Span::from_ms(11.0);
+        pool.revise(settings, vec![ClassId(1)], &[]);
+        let owed = pool.submit(Exchange::new(Nothing, ClassId(1), budget)).expect("taken");
+        let answer = owed.answer(|deadline| deadline).await;
+        let waited = begun.elapsed();
+        assert!(!matches!(answer, Final::Served(())), "its server never answers");
+        assert!((Duration::from_millis(18)..budget).contains(&waited), "{waited:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// What can't be taken is turned away at once, with a time to come back.
+#[tokio::test(start_paused = true)]
+async fn a_pool_without_a_list_or_room_declines_at_once() {
+    let test = async {
+        let empty = pool(false, 9);
+        let declined = empty.submit(exchange("a")).err().expect("declined");
+        assert_eq!(declined, Declined::NoList(COME_BACK));
+        assert!(declined.come_back().is_some());
+        empty.listed(List { version: 1, whole: true, members: vec![Member::serving("s", 80)] });
+        assert!(empty.submit(exchange("a")).is_ok());
+        let full = pool(true, 1);
+        let first = full.submit(exchange("a")).expect("taken");
+        assert_eq!(full.submit(exchange("b")).err(), Some(Declined::Full(COME_BACK)));
+        drop(first);
+        full.close();
+        assert_eq!(full.submit(exchange("b")).err(), Some(Declined::Closed(COME_BACK)));
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Its connections come up when they are told to; so many requests are then read and their connections reset.
+struct Slow {
+    up: Rc<Notify>,
+    breaks: Cell<u32>,
+    opened: Rc<RefCell<Vec<bool>>>,
+}
+
+impl Upstream for Slow {
+    type Address = u16;
+    type Call = Nothing;
+    type Answer = ();
+    async fn attempt(&self, _: Place<u16>, _: &Nothing, gate: Gate<'_>) -> Ended<()> {
+        self.up.notified().await;
+        let opens = gate.open();
+        self.opened.borrow_mut().push(opens);
+        match self.breaks.get() {
+            0 if opens => std::future::pending().await,
+            0 => Outcome::NotSent.into(),
+            left => {
+                self.breaks.set(left - 1);
+                Outcome::ConnectionReset.into()
+            }
+        }
+    }
+    async fn probe(&self, _: Place<u16>) -> Ended<()> {
+        Outcome::TimedOut.into()
+    }
+    fn close_idle(&self, _: ServerId) {}
+    fn retire(&self, _: &dyn Fn(ServerId, u64) -> bool) {}
+}
+
+/// A pool whose class has this effect, what brings its connections up, and what the gate has said of each.
+fn slow(effect: Effect, breaks: u32) -> (Pool<Slow>, Rc<Notify>, Rc<RefCell<Vec<bool>>>) {
+    let (up, opened) = (Rc::new(Notify::new()), Rc::default());
+    let mut settings = Settings::default();
+    settings.classes[0].effect = effect;
+    let members = vec![Member::serving("s", 80), Member::serving("t", 81)];
+    let pool = Pool::new(Setup {
+        name: "main".into(),
+        settings,
+        seed: 7,
+        names: ServerNames::default(),
+        known: Some(List { version: 1, whole: true, members }),
+        known_stands: true,
+        epoch: None,
+        upstream: Slow { up: Rc::clone(&up), breaks: Cell::new(breaks), opened: Rc::clone(&opened) },
+        requests: Quota::alone(9),
+    });
+    (pool.expect("usable"), up, opened)
+}
+
+/// A client that has gone while a connection came up is sent nowhere; one that waits is.
+#[tokio::test(start_paused = true)]
+async fn nothing_begins_for_a_client_that_has_gone() {
+    let test = async {
+        for gone in [false, true] {
+            let (pool, up, opened) = slow(Effect::Idempotent, 0);
+            let owed = pool.submit(exchange("id")).expect("taken");
+            yield_now().await;
+            let kept = (!gone).then_some(owed);
+            up.notify_one();
+            while opened.borrow().is_empty() {
+                yield_now().await;
+            }
+            assert_eq!(*opened.borrow(), [!gone]);
+            drop(kept);
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// The window of a keyed class runs on while the repeat's connection comes up: nothing is sent after it.
+#[tokio::test(start_paused = true)]
+async fn no_repeat_begins_after_its_window() {
+    let window = Span::from_ms(450.0);
+    let test = async {
+        for (waited, begins) in [(449, true), (451, false)] {
+            let (pool, up, opened) = slow(Effect::Deduplicated { group: Group::All, window }, 1);
+            let owed = pool.submit(exchange("id")).expect("taken");
+            yield_now().await;
+            // Its server may have run it.
+            up.notify_one();
+            while opened.borrow().is_empty() {
+                yield_now().await;
+            }
+            // The repeat has been decided, in time.
+            while pool.0.core.borrow().open[&owed.id].attempts < 2 {
+                yield_now().await;
+            }
+            tokio::time::advance(Duration::from_millis(waited)).await;
+            up.notify_one();
+            while opened.borrow().len() < 2 {
+                yield_now().await;
+            }
+            assert_eq!(*opened.borrow(), [true, begins], "after {waited} ms");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- /dev/null
+++ b/crates/lab/src/edit/tests.rs
@@ -0,0 +1,33 @@
+use super::*;
+
+const SOURCE: &str = include_str!("../../../../scenarios/rolling-release.toml");
+
+#[test]
+fn a_key_is_set_by_its_path() {
+    let mut source = Source::new(SOURCE).expect("TOML");
+    source.set("agents.count", "7").expect("a path");
+    source.set("class.1.work_ms", "3.5").expect("a place in a list");
+    source.set("class.0.name", "look").expect("a bare word");
+    let scenario = source.scenario().expect("sound");
+    assert_eq!(
+        (scenario.agents, scenario.classes[1].work, scenario.classes[0].name.as_str()),
+        (7, 3500, "look")
+    );
+    assert!(source.set("class.name", "x").is_err() && source.set("name.x", "1").is_err());
+    source.set("agents.cuont", "7").expect("a path");
+    assert!(source.scenario().expect_err("no such key").contains("agents.cuont"));
+}
+
+/// What fails only with one of the faults and more than four agents is left with just these.
+#[test]
+fn a_failing_scenario_gets_as_small_as_it_can() {
+    let source = Source::new(SOURCE).expect("TOML");
+    let mut fails =
+        |s: &Scenario| s.agents > 4 && s.events.iter().any(|event| event.what == scenario::What::Drain);
+    let (small, tried) = minimize(&source, 500, &mut fails);
+    let scenario = small.scenario().expect("sound");
+    assert!(tried < 500);
+    assert_eq!((scenario.agents, scenario.classes.len()), (5, 1));
+    assert!(scenario.events.iter().all(|event| event.what == scenario::What::Drain));
+    assert!(scenario.length < 1_000_000 && scenario.fleet.servers < 13);
+}
--- /dev/null
+++ b/crates/lab/src/processes/tests.rs
@@ -0,0 +1,56 @@
+use super::plan::Planted;
+use super::*;
+
+fn plan(text: &str) -> Plan {
+    plan::parse(text).expect("sound")
+}
+
+const FAULTS: &str = include_str!("../../../../scenarios/council-faults.toml");
+
+#[test]
+fn a_seed_is_one_run() {
+    let mut plan = plan(FAULTS);
+    plan.length = 8_000_000;
+    let [first, again, other] = [3, 3, 4].map(|seed| world::play(&plan, seed).digest);
+    assert_eq!(first, again);
+    assert_ne!(first, other);
+}
+
+/// One whose file is cut does not start, and one whose disk is put back to an older copy ends; each is replaced.
+#[test]
+fn processes_whose_disks_are_not_what_they_left_there_end() {
+    for (scenario, least) in [
+        (include_str!("../../../../scenarios/council/cut-disk.toml"), 8),
+        (include_str!("../../../../scenarios/council/old-disk.toml"), 8),
+    ] {
+        let plan = plan(scenario);
+        let outcomes: Vec<_> = (1..=8).map(|seed| world::play(&plan, seed)).collect();
+        assert!(outcomes.iter().map(|outcome| outcome.ended).sum::<usize>() >= least, "{}", plan.name);
+        for outcome in outcomes {
+            assert_eq!(judge::judge(&outcome.seen, plan.permits, plan.servers_out), Vec::<String>::new());
+        }
+    }
+}
+
+#[test]
+fn a_council_without_faults_settles_every_operation_under_one_leader() {
+    let mut plan = plan(FAULTS);
+    (plan.length, plan.every) = (8_000_000, 0);
+    let outcome = world::play(&plan, 1);
+    assert_eq!(judge::judge(&outcome.seen, plan.permits, plan.servers_out), Vec::<String>::new());
+    assert_eq!((outcome.unknown, outcome.leaders), (0, 1));
+    assert!(outcome.settled > 100, "{}", outcome.settled);
+    assert_eq!(plan.planted, Planted::Nothing);
+}
+
+#[test]
+fn faults_of_scenarios_are_told_with_their_place() {
+    let faults = plan::parse("name = \"x\"\nlength_ms = 1000\n[council]\nprocesses = 10\nterm = 3\n")
+        .expect_err("two");
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(
+        lines[0].starts_with("4:13: council.processes") && lines[1].starts_with("5:1: council.term"),
+        "{lines:?}"
+    );
+}
--- /dev/null
+++ b/crates/lab/src/sim/tests.rs
@@ -0,0 +1,67 @@
+use super::*;
+use crate::judge::Rule;
+use crate::scenario::parse;
+
+fn scenario(fleet: &str, rate: f64, faults: &str) -> Scenario {
+    let source = format!(
+            "name = \"small\"\nlength_ms = 8000\n[fleet]\n{fleet}\n[agents]\ncount = 5\n[clients]\nrate_per_s = {rate}\n\
+             [[class]]\nname = \"read\"\neffect = \"idempotent\"\nwork_ms = 10\naim_ms = 200\ndeadline_ms = 1000\n\
+             [[class]]\nname = \"once\"\neffect = \"at_most_once\"\nwork_ms = 10\naim_ms = 200\ndeadline_ms = 1000\n{faults}"
+        );
+    parse(&source).unwrap_or_else(|faults| panic!("{faults:?}"))
+}
+
+fn run(scenario: &Scenario, policy: Policy, seed: u64) -> Run {
+    play(scenario, policy, seed, |_| {})
+}
+
+const RELEASE: &str = "[[fault]]\nat_ms = 1000\nwhat = \"drain\"\nserver = 0\n\
+        [[fault]]\nat_ms = 2500\nwhat = \"kill\"\nserver = 0\n\
+        [[fault]]\nat_ms = 2700\nwhat = \"kill-agent\"\nagent = 1\n\
+        [[fault]]\nat_ms = 3000\nwhat = \"replace\"\nserver = 0\n\
+        [[fault]]\nat_ms = 3100\nwhat = \"start-agent\"\nagent = 1\n\
+        [[fault]]\nat_ms = 3500\nwhat = \"upgrade-agent\"\nagent = 2\n\
+        [[fault]]\nat_ms = 4000\nwhat = \"kill\"\nserver = 1\n";
+
+#[test]
+fn a_run_is_the_same_each_time_and_other_with_another_seed() {
+    let scenario = scenario("servers = 4\nnoisy_share = 0.2", 300.0, RELEASE);
+    for policy in Policy::ALL {
+        let (first, second) = (run(&scenario, policy, 7), run(&scenario, policy, 7));
+        assert_eq!((&first.digest, first.calls, first.sends), (&second.digest, second.calls, second.sends));
+        assert_ne!(first.digest, run(&scenario, policy, 8).digest);
+    }
+}
+
+#[test]
+fn the_engine_keeps_the_rules_through_a_release_and_a_kill() {
+    let scenario = scenario("servers = 4", 300.0, RELEASE);
+    for seed in 1..=3 {
+        let run = run(&scenario, Policy::Heronhoist, seed);
+        assert_eq!(run.verdict.breaches, Default::default(), "seed {seed}");
+        assert!(run.calls > 2000 && run.sends > 1000 && run.connects > 20);
+        assert!(run.verdict.service.whole > 0.7, "seed {seed}: {:?}", run.verdict.service);
+    }
+}
+
+/// What the model holds against a careless sender is seen by the judge: turns without regard push a cold server over.
+#[test]
+fn a_careless_policy_pushes_a_cold_server_over() {
+    let start = "[[fault]]\nat_ms = 1000\nwhat = \"kill\"\nserver = 0\n[[fault]]\nat_ms = 1500\nwhat = \"start\"\nserver = 0\n";
+    let fleet = "servers = 3\ncold_share = 0.05\nwarm_after_ms = 60000\nroom = 500";
+    let careless = run(&scenario(fleet, 400.0, start), Policy::RoundRobin, 1);
+    assert!(careless.verdict.breaches.contains_key(&Rule::Cold), "{:?}", careless.verdict);
+    let careful = run(&scenario(fleet, 400.0, start), Policy::Heronhoist, 1);
+    assert_eq!(careful.verdict.breaches, Default::default());
+}
+
+/// Discovery that is short of room for a while delays agents; it does not stop them.
+#[test]
+fn agents_live_through_discovery_that_is_flooded_or_down() {
+    let faults = "[[fault]]\nat_ms = 500\nwhat = \"registry-down\"\n\
+            [[fault]]\nat_ms = 800\nwhat = \"kill\"\nserver = 0\n\
+            [[fault]]\nat_ms = 4000\nwhat = \"registry-up\"\n[registry]\nlines_per_s = 5\n";
+    let run = run(&scenario("servers = 4", 200.0, faults), Policy::Heronhoist, 3);
+    assert_eq!(run.verdict.breaches, Default::default());
+    assert!(run.lines >= 5, "each agent was told in the end: {}", run.lines);
+}
--- a/crates/lab/src/speech.rs
+++ b/crates/lab/src/speech.rs
@@ -301,40 +301,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const BOTH: Sides = Sides { old: true, new: true };
-
-    /// Each message written by hand becomes the other one written by hand, in all twelve ways, and a changed byte is seen.
-    #[test]
-    fn what_is_said_by_hand_in_both_dialects_is_the_same() {
-        let speech = Speech::new(WORKED.iter().map(|(name, _)| *name)).unwrap();
-        for call in 0..500 {
-            for class in 0..3 {
-                for side in [Side::Old, Side::New] {
-                    let asked = speech.asked(class, call, side, false, BOTH).unwrap();
-                    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-                    assert_eq!(asked.sides(), BOTH, "{}", text(&asked.own));
-                    let said = asked.said(side.other()).unwrap();
-                    let meant = Truth { number: call as u64 }.request(speech.classes[class].0, side.other());
-                    assert_eq!(text(said), meant);
-                    assert!(speech.is_meant(class, call, side.other(), said));
-                    assert!(!speech.is_meant(class, call + 1, side.other(), said));
-                    let keys = [side, side.other()]
-                        .map(|side| speech.key_at(class, side, asked.said(side).unwrap(), asked.key()));
-                    assert_eq!(keys[0], keys[1], "servers of both know its repeats by one key");
-                    assert_eq!(keys[0].is_some(), class == 1);
-
-                    let answer = speech.answer(class, call, side);
-                    let there = speech.translated(class, side, &answer).unwrap();
-                    assert_eq!(text(&there), text(&speech.answer(class, call, side.other())));
-                    assert!(speech.is_true(class, call, side.other(), &there));
-                    assert!(!speech.is_true(class, call + 1, side.other(), &there));
-                }
-            }
-            let own = speech.asked(1, call, Side::New, true, BOTH).unwrap();
-            assert_eq!((own.sides(), own.said(Side::Old)), (Sides { old: false, new: true }, None));
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/lab/src/world/tests.rs
@@ -0,0 +1,117 @@
+use super::*;
+
+fn kind() -> Kind {
+    Kind {
+        cores: 2,
+        speed: 1.0,
+        room: 3,
+        crowding: 0.0,
+        connections: 2,
+        connect_work: 0,
+        cancels: true,
+        reports_late: 1000,
+        cold_share: 0.2,
+        warm_after: 20_000_000,
+        warm_work: None,
+        overload_factor: 3.0,
+        fall_after: 3_000_000,
+        mean_work: 10_000.0,
+    }
+}
+
+#[test]
+fn cores_work_one_after_the_other_and_the_room_is_bounded() {
+    let mut server = Server::new(kind());
+    let fates: Vec<Fate> = (0..6).map(|job| server.offer(0, job, 1000, true)).collect();
+    assert_eq!(fates, [[Fate::Taken; 5].as_slice(), &[Fate::Rejected]].concat());
+    assert_eq!((server.load(), server.next()), (5, Some(1000)));
+    assert_eq!(server.report(0), [5.0, 3.0, 1.0]);
+    assert_eq!((server.advance(999), server.advance(1500)), (vec![], vec![0, 1]));
+    assert_eq!(server.report(1500), [5.0, 3.0, 1.0], "reports come late");
+    server.cancel(1500, 2);
+    assert_eq!((server.load(), server.next()), (2, Some(2000)));
+    server.choke(1600, true);
+    assert_eq!((server.advance(9000), server.offer(9000, 9, 1000, true)), (vec![], Fate::Taken));
+    server.choke(2600, false);
+    assert_eq!(server.advance(3000), [3], "what was cancelled left its core to the next");
+    server.kill();
+    assert_eq!((server.offer(3600, 7, 1, true), server.load()), (Fate::Down, 0));
+}
+
+#[test]
+fn connections_are_capped_and_die_with_a_life() {
+    let mut server = Server::new(kind());
+    assert_eq!([0; 3].map(|now| server.connect(now, true)), [true, true, false]);
+    server.start(1);
+    assert_eq!((server.open, server.connect(2, true)), (0, true));
+    server.disconnect(0);
+    assert_eq!((server.open, server.most_open), (1, 2), "an end from an earlier life");
+}
+
+/// At 2.5 times what it can do it stands; at 3.5 times it falls, after so long and not before.
+#[test]
+fn a_cold_server_falls_when_it_is_pushed_too_far_for_too_long() {
+    let fall = |factor: f64, told: fn(u64) -> bool| {
+        let mut server = Server::new(kind());
+        server.start(0);
+        (0..600).find_map(|n| {
+            let now = n * 10_000;
+            let work = server.capacity(now) * factor * 10_000.0;
+            server.advance(now);
+            let falls = server.offer(now, n, work as Micros, told(n)) == Fate::Down;
+            falls.then_some((now, server.falls))
+        })
+    };
+    assert_eq!(fall(2.5, |_| true), None);
+    assert_eq!(fall(3.5, |n| n % 2 == 0).map(|(_, falls)| falls), Some((1, 0)), "half of them did not know");
+    let (at, falls) = fall(3.5, |n| n % 10 > 2).expect("it falls");
+    assert_eq!(falls, (1, 1));
+    assert!((3_000_000..3_200_000).contains(&at), "{at}");
+    let mut warm = Server::new(kind());
+    assert!(
+        (0..600).all(|n| warm.offer(n * 10_000, n, 1_000_000, true) != Fate::Down),
+        "a warm one turns away"
+    );
+}
+
+/// A burst right after its start spends the budget of the whole time: 3 times 0.4 cores for 3 s are 360 requests of
+/// 10 ms, and 39 more are chance.
+#[test]
+fn a_burst_at_the_start_is_counted_against_the_budget() {
+    let counted = |count: u64, told: bool| {
+        let mut server = Server::new(kind());
+        server.start(0);
+        for n in 0..count {
+            server.offer(0, n, 10_000, told);
+        }
+        server.falls
+    };
+    assert_eq!([counted(399, true), counted(400, true), counted(900, true)], [(0, 0), (0, 1), (0, 1)]);
+    assert_eq!(counted(900, false), (0, 0), "nobody knew");
+}
+
+#[test]
+fn a_cold_server_warms() {
+    let mut server = Server::new(kind());
+    server.start(1_000_000);
+    server.offer(1_000_000, 1, 1000, true);
+    assert_eq!((server.next(), server.life()), (Some(1_005_000), 1));
+    assert!((server.warmth(11_000_000) - 0.6).abs() < 1e-9);
+    assert_eq!(server.warmth(30_000_000), 1.0);
+    let mut server = Server::new(Kind { warm_work: Some(2000), ..kind() });
+    server.start(0);
+    server.offer(0, 1, 1000, true);
+    server.advance(5000);
+    assert!((server.warmth(5000) - 0.6).abs() < 1e-9, "half of the work that warms it");
+}
+
+#[test]
+fn a_building_remembers_for_the_window() {
+    let mut memory = Memory::default();
+    assert!(memory.runs(0, 1, 7, 600));
+    assert!(!memory.runs(600, 1, 7, 600));
+    assert!(memory.runs(600, 2, 7, 600), "another building has not seen it");
+    assert!(memory.runs(601, 1, 7, 600));
+    assert!(!memory.runs(1200, 1, 7, 600), "by the time of what had the effect");
+    assert_eq!(memory.ran.len(), 2);
+}
