Let a connection rest 20 ms before it carries the next request, in case of a second answer

Seen, by reading and then with real connections: a server that lets a copy of its last answer go ahead of the next one, where the next request came within 10 ms, had the copy passed on as the next request's answer: the second of two requests got "call-0" for "call-1", on the first try in 5 of 5 runs.

Examined and ruled out: what comes while the connection rests is seen, when it is taken and again by the kernel right before the first byte (`wire.rs`, armed); what comes ahead of the whole request is none (`backend.rs`, is_whole). What comes after the last byte can't be told from the answer: `connections.rs`, usable, gave the youngest connection out at once.

Change: it is given out again 20 ms after its answer at the earliest. One that rested longer is taken, else one is opened, so a server has about as many connections more as requests come to it in 20 ms.

Measured: the new test fails without the mend (5 of 5), passes with it (13 of 13, and three full runs of the loopback tests side by side). The check that a connection is used again now waits for that rest.

--- a/crates/agent/src/connections.rs
+++ b/crates/agent/src/connections.rs
@@ -17,6 +17,10 @@
 
 /// A connection rests for this share of the time after which a backend closes it, so that the two never cross.
 const REST_SHARE: f64 = 0.8;
+/// A connection that has just brought an answer rests at least this long before it carries another request. A server that sends an
+/// answer twice may do so some milliseconds late: that has to be seen while the connection rests, since what comes after the next
+/// request was written can't be told from its answer.
+const REST_LEAST: Duration = Duration::from_millis(20);
 /// How long a connection may take to be ready again once its answer has been read.
 const SETTLE_WAIT: Duration = Duration::from_millis(500);
 /// The largest head of an answer, and its lines; hyper's own bounds would let a few hundred endless heads fill
@@ -40,7 +44,7 @@
 #[derive(PartialEq)]
 enum Use {
     Now,
-    /// hyper has not put its last answer behind it yet.
+    /// Its last answer may not be all that comes, or hyper has not put it behind it yet.
     Soon,
     Never,
 }
@@ -51,7 +55,7 @@
         let age = now.saturating_duration_since(self.since);
         if age >= rest || self.life != life || self.sender.is_closed() || !self.view.is_quiet() {
             Use::Never
-        } else if self.sender.is_ready() {
+        } else if age >= REST_LEAST && self.sender.is_ready() {
             Use::Now
         } else if age < SETTLE_WAIT {
             Use::Soon
--- a/crates/agent/tests/loopback/outcomes.rs
+++ b/crates/agent/tests/loopback/outcomes.rs
@@ -3,6 +3,8 @@
 use crate::common::*;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 /// A script for several backends: the first request that any of them hears is treated by `first`.
 fn first_then_ok(
@@ -47,6 +49,8 @@
     }
     let left: u64 = got.header("X-Budget-Ms").unwrap().parse().unwrap();
     assert!(left <= 9000);
+    // One that has just brought an answer rests for a moment, in case that was not all of it.
+    thread::sleep(Duration::from_millis(100));
     client.ask(&request("read", 9000));
     assert_eq!(backend.heard.all()[1].line, "GET /read?a=1&b=%20 HTTP/1.1");
     assert_eq!(backend.opened.all().len(), 1, "a connection is kept and used again");
--- a/crates/agent/tests/loopback/spoilt.rs
+++ b/crates/agent/tests/loopback/spoilt.rs
@@ -2,6 +2,10 @@
 
 use crate::common::*;
 use crate::outcomes::outcome;
+use std::io::{BufReader, Write};
+use std::net::TcpListener;
+use std::thread;
+use std::time::{Duration, Instant};
 
 const BODY: &str = "\r\n\r\nfirst";
 
@@ -71,3 +75,41 @@
         assert_eq!(backend.heard.all().len(), n);
     }
 }
+
+/// The second answer may come a little after the first, when the next request has been written to its connection: that
+/// must not be served with it. Where the next request comes within 10 ms of an answer, the server here lets a copy of that
+/// answer go ahead of its own.
+#[test]
+fn a_second_answer_that_crosses_the_next_request_is_not_its_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || {
+                let (mut output, mut input) = (stream.try_clone().unwrap(), BufReader::new(stream));
+                let mut before = None::<(Instant, String)>;
+                while let Some(message) = Message::read(&mut input) {
+                    let late = before.take().filter(|(at, _)| at.elapsed() < Duration::from_millis(10));
+                    let body = message.header("X-Call-Id").unwrap_or_default();
+                    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                    before = Some((Instant::now(), answer.clone()));
+                    let all = late.map_or(String::new(), |(_, copy)| copy) + &answer;
+                    if output.write_all(all.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let line = serving("s", address);
+    let discovery = Discovery::new(line.clone());
+    let agent = Agent::start(&config(discovery.address, &line, SETTINGS, 1024));
+    let mut client = Client::to(&agent);
+    for _ in 0..50 {
+        let text = request("once", 9000);
+        let sent = Message::read(&mut text.as_bytes()).unwrap();
+        let answer = client.ask(&text);
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
+        assert_eq!((answer.status(), body.as_str()), (200, sent.header("X-Call-Id").unwrap()));
+    }
+}
