--- a/crates/decision/src/policy/intake.rs
+++ b/crates/decision/src/policy/intake.rs
@@ -74,15 +74,18 @@
 
     /// Little's law with square-root staffing: no more is out than is answered within the time that it should
     /// take and, as so few vary much by chance, the root of that; suspects are left aside. By what comes in
-    /// alone, with clients that ask again, a fleet that has fallen behind would be sent more and more.
-    pub(super) fn is_full(&self) -> bool {
+    /// alone, with clients that ask again, a fleet that has fallen behind would be sent ever more; one that
+    /// is all cold too much, by all balancers before any of them has learned of it.
+    pub(super) fn is_full(&self, now: Time) -> bool {
         if !self.is_many() {
             return false;
         }
         let trusted = |f: &&Flight| !f.arriving && self.servers[f.server].suspicion.is_none();
         let out = self.flights.values().filter(trusted).count() as f64;
         let answered = if self.counted < COUNT_MS { 1.0 } else { (self.answered / self.wanted).min(1.0) };
-        let usual = self.usual_out() * answered;
+        let warmth = self.serving.iter().map(|&i| self.warmth(&self.servers[i], now));
+        let warmth = warmth.fold(0.0, f64::max);
+        let usual = self.usual_out() * answered * warmth;
         out >= OUT_LEAST + usual + usual.sqrt()
     }
 
--- a/crates/decision/src/policy/kinds.rs
+++ b/crates/decision/src/policy/kinds.rs
@@ -1,7 +1,6 @@
 //! How quick each kind of machine is: one of many balancers sees little of a server, but enough of a kind.
 
-use crate::api::*;
-use std::collections::BTreeMap;
+use super::*;
 
 /// How sharply a slower kind is drawn less: work that waits takes more than its share of the time.
 const KIND_POWER: f64 = 3.0;
--- a/crates/decision/src/policy/mod.rs
+++ b/crates/decision/src/policy/mod.rs
@@ -15,13 +15,8 @@
 mod warmth;
 
 use crate::api::*;
-use accounts::*;
-use kinds::Kinds;
-use lawful::*;
-use limits::*;
-use roster::*;
 use std::collections::BTreeMap;
-use suspicion::*;
+use {accounts::*, kinds::Kinds, lawful::*, limits::*, roster::*, suspicion::*};
 
 /// How often the balancer looks around when it holds requests, and when it does not.
 const TICK_BUSY: Span = Span(10_000);
