Call a connection's closes graceful and immediate

House words that hide a standard concept: `End::Gently` and `End::AtOnce` of a client's connection are `Close::Graceful` and `Close::Immediate`. No change of behaviour, of the metrics' names or of a file's form.

--- a/crates/agent/src/seats.rs
+++ b/crates/agent/src/seats.rs
@@ -44,11 +44,11 @@
 
 /// How a connection is to end.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum End {
+pub enum Close {
     /// When what is owed on it has been given.
-    Gently,
+    Graceful,
     /// Now.
-    AtOnce,
+    Immediate,
 }
 
 /// What a connection shows of itself to the others.
@@ -68,7 +68,7 @@
     heard: Cell<(u64, Instant)>,
     /// What had been received when the last answer was given.
     mark: Cell<u64>,
-    end: Cell<Option<End>>,
+    end: Cell<Option<Close>>,
     ending: Notify,
 }
 
@@ -150,26 +150,26 @@
         lately
     }
 
-    fn tell(&self, end: End) {
-        if self.end.get() != Some(End::AtOnce) {
+    fn tell(&self, end: Close) {
+        if self.end.get() != Some(Close::Immediate) {
             self.end.set(Some(end));
             self.ending.notify_one();
         }
     }
 
     /// Comes back when it is told to end, or to end sooner.
-    pub async fn ended(&self) -> End {
+    pub async fn ended(&self) -> Close {
         self.ending.notified().await;
-        self.end.get().unwrap_or(End::Gently)
+        self.end.get().unwrap_or(Close::Graceful)
     }
 
     /// Comes back when it is told to end now.
-    pub async fn ended_at_once(&self) {
-        while self.ended().await != End::AtOnce {}
+    pub async fn closed_immediately(&self) {
+        while self.ended().await != Close::Immediate {}
     }
 
     /// Whether its time is over.
-    fn overdue(&self, now: Instant) -> Option<End> {
+    fn overdue(&self, now: Instant) -> Option<Close> {
         let received = self.view.received();
         if self.heard.get().0 != received {
             self.heard.set((received, now));
@@ -188,11 +188,11 @@
         let stuck =
             self.view.stuck_since().is_some_and(|since| now.saturating_duration_since(since) > STUCK_WAIT);
         match self.phase.get() {
-            _ if stuck => Some(End::AtOnce),
-            Phase::Waiting if self.used.get() => (age > IDLE_WAIT).then_some(End::Gently),
-            Phase::Waiting => (age > FIRST_WAIT).then_some(End::AtOnce),
-            Phase::Reading => (age > READ_WAIT).then_some(End::AtOnce),
-            Phase::Leaving => (age > LEAVE_WAIT).then_some(End::AtOnce),
+            _ if stuck => Some(Close::Immediate),
+            Phase::Waiting if self.used.get() => (age > IDLE_WAIT).then_some(Close::Graceful),
+            Phase::Waiting => (age > FIRST_WAIT).then_some(Close::Immediate),
+            Phase::Reading => (age > READ_WAIT).then_some(Close::Immediate),
+            Phase::Leaving => (age > LEAVE_WAIT).then_some(Close::Immediate),
             Phase::Body | Phase::Busy => None,
         }
     }
@@ -281,7 +281,7 @@
                 continue;
             }
             // A request may just be on its way on one that has been used.
-            seat.tell(if rank == 2 { End::Gently } else { End::AtOnce });
+            seat.tell(if rank == 2 { Close::Graceful } else { Close::Immediate });
             return;
         }
     }
@@ -302,13 +302,13 @@
             if seats.len() > most { seats.values().filter(rests).collect() } else { Vec::new() };
         resting.sort_by_key(|seat| (seat.reused.get(), seat.since.get()));
         for seat in resting.into_iter().take(seats.len().saturating_sub(most)) {
-            seat.tell(End::Gently);
+            seat.tell(Close::Graceful);
         }
     }
 
     /// Closes the connections that are idle, and the others after their answer.
     pub fn close_all(&self) {
-        self.seats.borrow().values().for_each(|seat| seat.tell(End::Gently));
+        self.seats.borrow().values().for_each(|seat| seat.tell(Close::Graceful));
     }
 
     /// How many owe an answer, are still giving it, or have begun to be sent a request and so may owe one soon.
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -10,7 +10,7 @@
 use crate::legacy::{self, Asked, Translated};
 use crate::metrics::{ClassCounters, Metrics, Outcome, Times};
 use crate::ops::Shown;
-use crate::seats::{End, Seat, Seats};
+use crate::seats::{Close, Seat, Seats};
 use crate::upload::{Broken, Coming};
 use crate::wire::{linger, Wire};
 use bytes::Bytes;
@@ -160,10 +160,10 @@
                     tokio::task::spawn_local(async move {
                         let (taken, stream) = (server.seats.enter(view), wire.stream());
                         let ended = server.converse(&front, &taken.seat, wire).await;
-                        if ended == End::Gently && taken.seat.leave() {
+                        if ended == Close::Graceful && taken.seat.leave() {
                             tokio::select! {
                                 () = linger(&stream, LINGER_MOST) => {}
-                                () = taken.seat.ended_at_once() => {}
+                                () = taken.seat.closed_immediately() => {}
                             }
                         }
                         drop((stream, ticket));
@@ -233,7 +233,7 @@
 
 impl Server {
     /// Serves a connection to its end; tells whether what it has been given last may still reach its client.
-    async fn converse(self: &Rc<Self>, front: &Rc<Front>, seat: &Rc<Seat>, wire: Wire) -> End {
+    async fn converse(self: &Rc<Self>, front: &Rc<Front>, seat: &Rc<Seat>, wire: Wire) -> Close {
         let service = service_fn(|request| {
             let (server, front, seat) = (Rc::clone(self), Rc::clone(front), Rc::clone(seat));
             async move {
@@ -256,10 +256,10 @@
         builder.header_read_timeout(None).max_buf_size(HEAD_MOST).max_headers(HEADERS_MOST);
         let mut connection = pin!(builder.serve_connection(wire, service));
         tokio::select! {
-            _ = connection.as_mut() => return End::Gently,
-            end = seat.ended() => if end == End::AtOnce { return end },
+            _ = connection.as_mut() => return Close::Graceful,
+            end = seat.ended() => if end == Close::Immediate { return end },
         }
-        let gently = async {
+        let graceful = async {
             // A request that is on its way, or has come and was not read yet, must not be cut off by the close.
             while seat.is_coming() {
                 if timeout(Duration::from_millis(1), connection.as_mut()).await.is_ok() {
@@ -278,8 +278,8 @@
             {}
         };
         tokio::select! {
-            () = gently => End::Gently,
-            () = seat.ended_at_once() => End::AtOnce,
+            () = graceful => Close::Graceful,
+            () = seat.closed_immediately() => Close::Immediate,
         }
     }
 
