Call what is learned of idle connections their idle timeout

`Rest` hides a standard concept: the module is `idle_timeout`, its type `IdleTimeout`, and the bounds in `connections.rs` are named after it. No change of behaviour.

--- a/crates/agent/src/connections.rs
+++ b/crates/agent/src/connections.rs
@@ -1,6 +1,6 @@
 //! The connections to backends: at work, idle, or not there yet.
 
-use crate::rest::Rest;
+use crate::idle_timeout::IdleTimeout;
 use crate::upload::Outgoing;
 use crate::wire::{View, Wire};
 use heronhoist_decision::{Outcome, ServerId};
@@ -16,11 +16,11 @@
 use tokio::time::{timeout, Instant};
 
 /// A connection rests for this share of the time after which a backend closes it, so that the two never cross.
-const REST_SHARE: f64 = 0.8;
+const IDLE_SHARE: f64 = 0.8;
 /// A connection that has just brought an answer rests at least this long before it carries another request. A server that sends an
 /// answer twice may do so some milliseconds late: that has to be seen while the connection rests, since what comes after the next
 /// request was written can't be told from its answer.
-const REST_LEAST: Duration = Duration::from_millis(20);
+const IDLE_LEAST: Duration = Duration::from_millis(20);
 /// How long a connection may take to be ready again once its answer has been read.
 const SETTLE_WAIT: Duration = Duration::from_millis(500);
 /// The largest head of an answer, and its lines; hyper's own bounds would let a few hundred endless heads fill
@@ -55,7 +55,7 @@
         let age = now.saturating_duration_since(self.since);
         if age >= rest || self.life != life || self.sender.is_closed() || !self.view.is_quiet() {
             Use::Never
-        } else if age >= REST_LEAST && self.sender.is_ready() {
+        } else if age >= IDLE_LEAST && self.sender.is_ready() {
             Use::Now
         } else if age < SETTLE_WAIT {
             Use::Soon
@@ -116,7 +116,7 @@
     open: Rc<Part>,
     siblings: Rc<Siblings>,
     connect_timeout: Cell<Duration>,
-    rest: Rest,
+    idle_timeout: IdleTimeout,
 }
 
 impl Connections {
@@ -127,10 +127,10 @@
         connect_timeout: Duration,
         keepalive: Duration,
     ) -> Rc<Self> {
-        let rest = Rest::new(keepalive.mul_f64(REST_SHARE));
+        let idle_timeout = IdleTimeout::new(keepalive.mul_f64(IDLE_SHARE));
         let (idle, connect_timeout) = (RefCell::default(), Cell::new(connect_timeout));
         let siblings = Rc::clone(siblings);
-        let connections = Rc::new(Connections { idle, open, siblings, connect_timeout, rest });
+        let connections = Rc::new(Connections { idle, open, siblings, connect_timeout, idle_timeout });
         let mut all = connections.siblings.0.borrow_mut();
         all.retain(|sibling| sibling.strong_count() > 0);
         all.push(Rc::downgrade(&connections));
@@ -150,7 +150,7 @@
     /// Takes over new settings.
     pub fn revise(&self, connect_timeout: Duration, keepalive: Duration) {
         self.connect_timeout.set(connect_timeout);
-        self.rest.revise(keepalive.mul_f64(REST_SHARE));
+        self.idle_timeout.revise(keepalive.mul_f64(IDLE_SHARE));
     }
 
     /// How many are open.
@@ -204,7 +204,7 @@
         let (now, mut idle) = (Instant::now(), self.idle.borrow_mut());
         let pool = idle.get_mut(&place.server)?;
         for i in (0..pool.len()).rev() {
-            match pool[i].usable(now, self.rest.limit(), place.life) {
+            match pool[i].usable(now, self.idle_timeout.limit(), place.life) {
                 Use::Now => return Some(pool.remove(i)),
                 Use::Soon => {}
                 Use::Never => pool.remove(i).task.abort(),
@@ -216,7 +216,7 @@
     /// Learns from how a connection served that had been idle: it has broken with nothing read, or has not.
     pub fn note(&self, lease: &Lease, broken: bool) {
         if let Some(rested) = lease.rested {
-            self.rest.note(rested, broken);
+            self.idle_timeout.note(rested, broken);
         }
     }
 
@@ -254,7 +254,7 @@
         self.idle.borrow_mut().retain(|&server, pool| {
             pool.retain(|idle| {
                 let keep = is_current(server, idle.life)
-                    && idle.usable(now, self.rest.limit(), idle.life) != Use::Never;
+                    && idle.usable(now, self.idle_timeout.limit(), idle.life) != Use::Never;
                 if !keep {
                     idle.task.abort();
                 }
--- a/crates/agent/src/rest.rs
+++ b/crates/agent/src/idle_timeout.rs
@@ -29,19 +29,19 @@
 }
 
 /// What has become of connections by the time that they had been idle.
-pub struct Rest {
+pub struct IdleTimeout {
     most: Cell<Duration>,
     limit: Cell<Duration>,
     seen: RefCell<[Seen; AGES]>,
     faded_at: Cell<Instant>,
 }
 
-impl Rest {
+impl IdleTimeout {
     /// Nothing seen yet; connections never rest longer than `most`.
     pub fn new(most: Duration) -> Self {
         let (most, limit) = (Cell::new(most), Cell::new(most));
         let faded_at = Cell::new(Instant::now());
-        Rest { most, limit, seen: RefCell::default(), faded_at }
+        IdleTimeout { most, limit, seen: RefCell::default(), faded_at }
     }
 
     /// Connections never rest longer than `most` from now on.
