--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -156,7 +156,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let (server, front, ticket) = (Rc::clone(self), Rc::clone(front), self.open.enter());
-                    let (wire, view) = Wire::of_client(stream, ());
+                    let (wire, view) = Wire::of_client(stream);
                     tokio::task::spawn_local(async move {
                         let (taken, stream) = (server.seats.enter(view), wire.stream());
                         let ended = server.converse(&front, &taken.seat, wire).await;
--- a/crates/agent/src/wire.rs
+++ b/crates/agent/src/wire.rs
@@ -174,11 +174,16 @@
     matches!(peek(stream), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
 }
 
+/// Says that nothing more will be written.
+fn half_close(stream: &TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write)
+}
+
 /// Says that nothing more will be written, and reads on what nobody wants until the peer has closed too, or has sent more
 /// than `most`. A close over bytes that nobody has read resets the connection, as do bytes that come after it, and takes
 /// with it what of the last answer is still under way.
 pub async fn linger(stream: &TcpStream, mut most: usize) {
-    let _ = socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write);
+    let _ = half_close(stream);
     loop {
         if stream.readable().await.is_err() {
             return;
@@ -208,8 +213,8 @@
     }
 
     /// Wraps a client's stream, and looks at the heads of its requests.
-    pub fn of_client(stream: TcpStream, held: impl Any) -> (Wire, View) {
-        Wire::with(stream, Box::new(held), Meter { requests: Some(RefCell::default()), ..Meter::default() })
+    pub fn of_client(stream: TcpStream) -> (Wire, View) {
+        Wire::with(stream, Box::new(()), Meter { requests: Some(RefCell::default()), ..Meter::default() })
     }
 
     fn with(stream: TcpStream, held: Box<dyn Any>, meter: Meter) -> (Wire, View) {
@@ -308,6 +313,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(half_close(&self.stream))
     }
 }
