--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -81,7 +81,8 @@
     }
 
     /// Whether this server may still be sent something new, and the request still owes its answer. Asked when the first byte
-    /// could go, since a server may have been told to drain, or a client have gone, while a connection was on its way. If so, a byte counts as written from here on.
+    /// could go, since a server may have been told to drain, or a client have gone, while a connection was on its way. If so,
+    /// a byte counts as written from here on.
     pub fn open(&self) -> bool {
         let lawful = (self.lawful)();
         self.sent.set(lawful);
