Take back that a cold server wins by the coin at most: it cost far too much service

Cause: where most servers are new, what the coin takes from them falls on the few warm ones, which are full, and is refused. A warm server's load is no measure for what a cold one can bear there.

--- a/crates/decision/src/policy/draw.rs
+++ b/crates/decision/src/policy/draw.rs
@@ -28,7 +28,7 @@
         let candidates = self.candidates(now, id);
         let live = &self.live[&id];
         let heavy = (self.work(live) / self.classes[&live.request.class].usual()).clamp(1.0, 9.0).sqrt();
-        let Some(server) = self.lightest(now, &candidates, heavy) else { return false };
+        let Some(server) = self.lightest(&candidates, heavy) else { return false };
         self.memory.retain(|&m| m != server);
         self.memory.insert(0, server);
         self.memory.truncate(REMEMBERED);
@@ -105,24 +105,19 @@
 
     /// The candidate with the least load: own requests in flight, scaled by a slow machine and a priced
     /// crossing. A coin is last.
-    pub(super) fn lightest(&mut self, now: Time, candidates: &[usize], heavy: f64) -> Option<usize> {
+    pub(super) fn lightest(&mut self, candidates: &[usize], heavy: f64) -> Option<usize> {
         let coins: Vec<u32> = candidates.iter().map(|_| self.rng.u32(..)).collect();
         let away = (1.0 + 100.0 * AWAY * self.settings.prices.cross_zone).clamp(1.0, AWAY_MOST);
         let many = self.is_many();
-        let load = |c: usize| {
+        let key = |c: usize, coin: u32| {
             let s = &self.servers[c];
             let far = if s.listed.zone == self.settings.zone { 1.0 } else { away };
             // A suspect drawn for its trial goes first: by its own record it would never be tried.
             let count = if s.suspicion.is_some() { 0.0 } else { f64::from(s.in_flight) + 1.0 };
-            ((count * far * s.stretch.powf(0.5 * heavy)).ln() / ALIKE).round() as i32
-        };
-        // Of a cold one nothing has been learned: beside crowded ones it would win each pick of many.
-        let warm = candidates.iter().filter(|&&c| many && !self.is_cold(now, c));
-        let least = warm.map(|&c| load(c)).min().unwrap_or(i32::MIN);
-        let key = |c: usize, coin: u32| {
+            let load = (count * far * s.stretch.powf(0.5 * heavy)).ln();
             // Sends since a report that never comes would make many take turns, on slow and quick alike.
-            let told = if many { 0.0 } else { self.servers[c].told.round() };
-            (load(c).max(least), told as i32, coin)
+            let told = if many { 0.0 } else { s.told.round() };
+            ((load / ALIKE).round() as i32, told as i32, coin)
         };
         candidates.iter().zip(coins).min_by_key(|&(&c, coin)| key(c, coin)).map(|(&c, _)| c)
     }
