Ask for the warmest server in one place, and no further than the first warm one

Why: `is_full` went through all servers for each pick to find the greatest warmth, and `candidates` went through them again to learn whether all are cold; the first scan never stopped early, on the path of every request of one of many.

Change: `warmest` in `warmth.rs` serves both and ends at the first warm server. No decision changes.

--- a/crates/decision/src/policy/draw.rs
+++ b/crates/decision/src/policy/draw.rs
@@ -46,7 +46,7 @@
         let open = |i: &usize| !tries.contains(i) && !self.is_cold(now, *i) && self.open_to(now, id, *i);
         let mut candidates: Vec<usize> = self.memory.iter().copied().filter(open).collect();
         let all = candidates.len() + DRAWS;
-        let all_cold = self.serving.iter().all(|&i| self.is_cold(now, i));
+        let all_cold = self.warmest(now) < 1.0;
         for _ in 0..DRAWS {
             for turn in 0..DRAW_TRIES.min(self.near.len()) {
                 let i = self.near[self.rng.usize(0..self.near.len())];
--- a/crates/decision/src/policy/intake.rs
+++ b/crates/decision/src/policy/intake.rs
@@ -83,9 +83,7 @@
         let trusted = |f: &&Flight| !f.arriving && self.servers[f.server].suspicion.is_none();
         let out = self.flights.values().filter(trusted).count() as f64;
         let answered = if self.counted < COUNT_MS { 1.0 } else { (self.answered / self.wanted).min(1.0) };
-        let warmth = self.serving.iter().map(|&i| self.warmth(&self.servers[i], now));
-        let warmth = warmth.fold(0.0, f64::max);
-        let usual = self.usual_out() * answered * warmth;
+        let usual = self.usual_out() * answered * self.warmest(now);
         out >= OUT_LEAST + usual + usual.sqrt()
     }
 
--- a/crates/decision/src/policy/warmth.rs
+++ b/crates/decision/src/policy/warmth.rs
@@ -13,6 +13,14 @@
         cold + (1.0 - cold) * age / warm
     }
 
+    /// The warmth of the warmest server that there is to send to; looks no further than the first warm one.
+    pub(super) fn warmest(&self, now: Time) -> f64 {
+        let mut warmths = self.serving.iter().map(|&i| self.warmth(&self.servers[i], now));
+        warmths
+            .try_fold(0.0, |most: f64, w| if w < 1.0 { Ok(most.max(w)) } else { Err(w) })
+            .unwrap_or_else(|w| w)
+    }
+
     pub(super) fn is_cold(&self, now: Time, server: usize) -> bool {
         self.warmth(&self.servers[server], now) < 1.0
     }
