--- a/review/common/standin.rs
+++ b/review/common/standin.rs
@@ -107,6 +107,57 @@
     pids: Arc<Mutex<Vec<u32>>>,
 }
 
+/// Starts the project's program with these arguments, by the command `run` of the deploy file.
+pub fn start_program(arguments: &str, temporary: &Path, tag: &str, pids: &Arc<Mutex<Vec<u32>>>) -> Program {
+    let log = File::create(temporary.join(format!("log-{tag}.txt"))).expect("a log file");
+    let private = temporary.join(format!("tmp-{tag}"));
+    let _ = std::fs::create_dir(&private);
+    let child = Command::new("/bin/sh")
+        .arg("-c")
+        .arg(format!("{} {arguments}", run_command()))
+        .current_dir(root())
+        .env("TMPDIR", &private)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().expect("a log file"))
+        .stderr(log)
+        .spawn()
+        .expect("the program can be started");
+    pids.lock().unwrap().push(child.id());
+    Program { child, pids: Arc::clone(pids) }
+}
+
+/// A process of the project, ended when dropped.
+pub struct Program {
+    pub child: Child,
+    pids: Arc<Mutex<Vec<u32>>>,
+}
+
+impl Program {
+    pub fn has_exited(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// Waits for the end of the process; `None` if it has not ended in time, else its exit code.
+    pub fn wait(&mut self, limit: Duration) -> Option<i32> {
+        let start = Instant::now();
+        while start.elapsed() < limit {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.code().unwrap_or(-1));
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.pids.lock().unwrap().retain(|pid| *pid != self.child.id());
+    }
+}
+
 /// What an agent is told.
 pub struct AgentOptions<'a> {
     pub listen: SocketAddr,
@@ -441,6 +492,10 @@
     /// While it is cut off, what it writes does not leave, and nothing reaches it; what was written goes out afterwards.
     pub is_cut_off: AtomicBool,
     pub runs: Mutex<Vec<Run>>,
+    /// The ids of the long answers that are being written.
+    pub writing: Mutex<Vec<String>>,
+    connections: Mutex<Vec<TcpStream>>,
+    has_stopped: AtomicBool,
     in_flight: AtomicUsize,
     record: Arc<Record>,
 }
@@ -455,12 +510,19 @@
             hangs: AtomicBool::new(false),
             is_cut_off: AtomicBool::new(false),
             runs: Mutex::default(),
+            writing: Mutex::default(),
+            connections: Mutex::default(),
+            has_stopped: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
             record: Arc::clone(record),
         });
         let accepting = Arc::clone(&server);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.has_stopped.load(Ordering::SeqCst) {
+                    return;
+                }
+                accepting.connections.lock().unwrap().extend(stream.try_clone());
                 let server = Arc::clone(&accepting);
                 thread::spawn(move || {
                     let _ = server.serve(stream);
@@ -474,6 +536,16 @@
         Target { uid: self.uid.clone(), endpoint: self.address, zone: self.zone, state: "SERVING" }
     }
 
+    /// Ends the server as the end of its process does: its connections break, and it accepts no new ones.
+    pub fn stop(&self) {
+        self.has_stopped.store(true, Ordering::SeqCst);
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+        // Wakes the thread that accepts, which then drops the listener.
+        let _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
+    }
+
     fn wait_while_hanging(&self) {
         while self.hangs.load(Ordering::SeqCst) || self.is_cut_off.load(Ordering::SeqCst) {
             thread::sleep(Duration::from_millis(5));
@@ -527,6 +599,10 @@
         self.wait_while_hanging();
         write!(writer, "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: {size}\r\n\r\n")?;
         let mut position = 0;
+        let is_long = size > 64 * 1024;
+        if is_long {
+            self.writing.lock().unwrap().push(id.to_string());
+        }
         while position < size {
             let end = (position + piece).min(size);
             let bytes: Vec<u8> = (position..end).map(|position| pattern(id, position)).collect();
@@ -537,7 +613,8 @@
                 thread::sleep(Duration::from_millis(10));
             }
         }
-        if size > 64 * 1024 {
+        if is_long {
+            self.writing.lock().unwrap().retain(|other| other != id);
             self.record.line(format!("{} has written its whole answer to {id}", self.uid));
         }
         Ok(())
