Keep the process until the long responses that it sends have ended, after SIGTERM

Cause: the wait for the last connections in `run` (lib.rs) ended at a time derived from the longest deadline, also while responses were being streamed. In the same place: a response whose last part hyper still held did not count as pending on a connection that was to be kept alive, and the connection of a streamed response was closed up to 1 s after its end, so that the client's next request met the exit, whose reset destroys what is in transit.

Change: the schedule and the wait are in shutdown.rs. While a response is being sent, the process stays, for 17.5 minutes at most (the largest response at the lowest supported rate). The connection of a streamed response closes when the response has ended. The limits on silent servers and clients are as before, so a stalled response does not hold the process.

Why this works: what decides is whether a response is being sent, and that ends by itself.

--- a/crates/agent/src/client_connections.rs
+++ b/crates/agent/src/client_connections.rs
@@ -78,6 +78,8 @@
     was_late: Cell<bool>,
     requested_close: Cell<Option<Close>>,
     close_request: Notify,
+    /// A response has been passed to hyper completely.
+    response_finished: Notify,
 }
 
 impl ClientConnection {
@@ -165,6 +167,12 @@
             return;
         }
         self.enter_phase(if closes { Phase::Closing } else { Phase::AwaitingRequest });
+        self.response_finished.notify_one();
+    }
+
+    /// Waits until a response has been passed to hyper completely. Returns at once if one has been since the last call.
+    pub async fn response_finished(&self) {
+        self.response_finished.notified().await;
     }
 
     /// Records that the last response has been written. Returns whether some of it may still be in transit; the client then
@@ -253,6 +261,12 @@
         self.monitor.write_stalled_since().is_some()
     }
 
+    /// Whether a response has begun and its client does not have all of it. What the kernel has taken may still be in transit on a
+    /// connection that is closing.
+    fn is_responding(&self) -> bool {
+        self.is_streaming.get() || self.has_unsent_bytes() || self.phase.get() == Phase::Closing
+    }
+
     /// The rank in the order of eviction, the lowest first; `None` if the connection must not be evicted.
     fn eviction_rank(&self, now: Instant) -> Option<(u8, Instant)> {
         let since = self.phase_since.get();
@@ -319,6 +333,7 @@
             was_late: Cell::new(false),
             requested_close: Cell::new(None),
             close_request: Notify::new(),
+            response_finished: Notify::new(),
         });
         let id = self.next_id.replace(self.next_id.get() + 1);
         self.connections.borrow_mut().insert(id, Rc::clone(&connection));
@@ -389,8 +404,15 @@
     /// The number of connections on which a response is pending or being sent, or a part of a request has arrived.
     pub fn pending_count(&self) -> usize {
         let is_pending = |connection: &&Rc<ClientConnection>| {
-            connection.phase.get() != Phase::AwaitingRequest || connection.is_request_arriving()
+            connection.phase.get() != Phase::AwaitingRequest
+                || connection.is_request_arriving()
+                || connection.is_responding()
         };
         self.connections.borrow().values().filter(is_pending).count()
     }
+
+    /// The number of connections on which a response has begun and its client does not have all of it.
+    pub fn responding_count(&self) -> usize {
+        self.connections.borrow().values().filter(|connection| connection.is_responding()).count()
+    }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -27,6 +27,7 @@
 mod reload;
 mod reuse;
 mod server;
+mod shutdown;
 mod socket_error;
 mod stall_timeout;
 mod translate;
@@ -42,6 +43,7 @@
 use pools::Pools;
 use reload::{apply_plan, ClassRegistry, Reloader};
 use server::Server;
+use shutdown::{wait_for_last_responses, ShutdownSchedule};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -51,21 +53,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
-use tokio::time::{sleep, Instant};
-
-/// How long new connections are still accepted after SIGTERM: clients take a while to notice the shutdown.
-const SHUTDOWN_ACCEPT_DURATION: Duration = Duration::from_millis(500);
-/// How long after that an idle process still waits for a first request on connections that have not been used yet.
-const UNUSED_CONNECTION_GRACE: Duration = Duration::from_millis(400);
-/// The platform kills the process some time after SIGTERM: after the longest request deadline, but at most this long, plus
-/// [`KILL_SLACK`]. Until then clients keep sending requests on open connections.
-const MAX_DEADLINE_BEFORE_KILL: Duration = Duration::from_secs(3);
-/// The time that the platform adds to the longest deadline before the kill.
-const KILL_SLACK: Duration = Duration::from_millis(700);
-/// How long before the kill every request that has been read gets its response; nothing is read after that.
-const KILL_MARGIN: Duration = Duration::from_millis(200);
-/// How long after the longest deadline of its last requests the process exits, even if connections are still open.
-const SHUTDOWN_SLACK: Duration = Duration::from_secs(1);
+use tokio::time::Instant;
 
 /// The number of connections that may wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1024;
@@ -219,39 +207,23 @@
     term.recv().await;
 
     // Clients keep connecting until they notice the shutdown, and each request that they send until then is served.
-    let stopped_at = Instant::now();
-    let longest_deadline = server.longest_deadline();
-    let respond_by = stopped_at + longest_deadline.min(MAX_DEADLINE_BEFORE_KILL) + KILL_SLACK - KILL_MARGIN;
-    server.begin_shutdown(respond_by);
+    let schedule = ShutdownSchedule::new(Instant::now(), server.longest_deadline());
+    server.begin_shutdown(schedule.respond_by);
     abort_and_wait(successor_tasks).await;
     if peers.has_ready_successor() {
         // The successor accepts all new connections from now on; open ones may still be used for a while.
         abort_and_wait(accepting.into_iter().map(|(_, task)| task).collect()).await;
-        sleep_until_caught_up(stopped_at + SHUTDOWN_ACCEPT_DURATION).await;
+        sleep_until_caught_up(schedule.accept_until).await;
     } else {
         // Connections that arrive by then are accepted, even if this process was not scheduled for a while.
-        sleep_until_caught_up(stopped_at + SHUTDOWN_ACCEPT_DURATION).await;
+        sleep_until_caught_up(schedule.accept_until).await;
         for (stop_accepting, task) in accepting {
             stop_accepting.notify_one();
             let _ = task.await;
         }
     }
     server.close_all();
-    let finish_idle_from = stopped_at + SHUTDOWN_ACCEPT_DURATION + UNUSED_CONNECTION_GRACE;
-    // Long responses may still be in transit after the deadline.
-    let exit_by = stopped_at + SHUTDOWN_ACCEPT_DURATION + longest_deadline + SHUTDOWN_SLACK;
-    let mut is_finishing = false;
-    while server.open_connections() > 0 && Instant::now() < exit_by {
-        let (now, is_idle) = (Instant::now(), server.pending_requests() == 0);
-        if is_finishing && is_idle {
-            break;
-        }
-        if !is_finishing && (is_idle && now >= finish_idle_from || now >= respond_by) {
-            is_finishing = true;
-            server.finish_pending();
-        }
-        sleep(Duration::from_millis(5)).await;
-    }
+    wait_for_last_responses(&server, &schedule).await;
     if let Some(member) = member {
         member.leave().await;
     }
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -18,7 +18,7 @@
 use bytes::Bytes;
 use heronhoist_config::Protocol;
 use heronhoist_decision::Span;
-use heronhoist_engine::timing::{catch_up, heartbeat, timeout, HEARTBEAT_INTERVAL};
+use heronhoist_engine::timing::{catch_up, heartbeat, sleep_until_caught_up, timeout, HEARTBEAT_INTERVAL};
 use heronhoist_engine::{FinalResponse, NewRequest, Rejection, Reservation};
 use heronhoist_routing::{Attributes, Table};
 use heronhoist_translate::wire::error_response::{ErrorResponse, RequestFailure};
@@ -236,6 +236,11 @@
     pub fn pending_requests(&self) -> usize {
         self.connections.pending_count()
     }
+
+    /// The number of connections on which a response has begun and its client does not have all of it.
+    pub fn responses_being_sent(&self) -> usize {
+        self.connections.responding_count()
+    }
 }
 
 /// The error of a request whose client has closed the connection before the response. It ends the connection and the work on the
@@ -313,8 +318,13 @@
                         () if connection.is_request_arriving() => Duration::from_millis(1),
                         () => break,
                     };
-                    if timeout(wait, http_connection.as_mut()).await.is_ok() {
-                        return;
+                    // A streamed response may end long after the close was requested: its connection is closed at once then, so
+                    // that the next request of its client does not destroy what is still in transit.
+                    tokio::select! {
+                        biased;
+                        _ = http_connection.as_mut() => return,
+                        () = connection.response_finished() => {}
+                        () = sleep_until_caught_up(Instant::now() + wait) => {}
                     }
                 }
                 // hyper would close a connection without a request. During a shutdown its client has just connected and is about to
--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -23,9 +23,9 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(1200);
 /// How long all reads of a body may wait together, apart from a time for each byte.
 const BASE_BODY_TIMEOUT: Duration = Duration::from_millis(1500);
-/// The rate at which that time grows with the bytes read. Clients may send at 64 kB/s; half of that leaves a margin for delays of this
-/// machine.
-const MIN_BYTES_PER_S: f64 = 32_000.0;
+/// The lowest rate at which bodies are transferred; the time for a read grows with the bytes at this rate. Clients may send at
+/// 64 kB/s; half of that leaves a margin for delays of this machine.
+pub const MIN_BYTES_PER_S: u64 = 32_000;
 
 /// The maximum number of bytes of a body that a client can have sent while they are not read: what the two socket buffers hold.
 const MAX_UNREAD_BYTES: u64 = 4 * 1024 * 1024;
@@ -77,7 +77,7 @@
                 if self.waiting_since.is_none() {
                     let now = Instant::now();
                     self.waiting_since = Some(now);
-                    let earned = Duration::from_secs_f64(self.bytes_read as f64 / MIN_BYTES_PER_S);
+                    let earned = Duration::from_secs_f64(self.bytes_read as f64 / MIN_BYTES_PER_S as f64);
                     let left = (BASE_BODY_TIMEOUT + earned).saturating_sub(self.waited);
                     self.timer.reset(now + left.min(READ_TIMEOUT));
                 }
--- a/crates/agent/tests/loopback/bulk.rs
+++ b/crates/agent/tests/loopback/bulk.rs
@@ -10,7 +10,7 @@
 const CHUNK: usize = 256 << 10;
 
 /// A server that passes each connection to `serve`.
-fn raw_server(serve: impl Fn(TcpStream) + Send + Sync + Clone + 'static) -> SocketAddr {
+pub fn raw_server(serve: impl Fn(TcpStream) + Send + Sync + Clone + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
@@ -29,7 +29,7 @@
 }
 
 /// Reads a head alone, whatever length it states.
-fn read_head(input: &mut impl BufRead) -> Option<Message> {
+pub fn read_head(input: &mut impl BufRead) -> Option<Message> {
     let mut text = String::new();
     while input.read_line(&mut text).ok()? > 0 {
         if text.ends_with("\r\n\r\n") {
--- a/crates/agent/tests/loopback/main.rs
+++ b/crates/agent/tests/loopback/main.rs
@@ -21,6 +21,7 @@
 mod pools;
 mod reload;
 mod shutdown;
+mod shutdown_streaming;
 mod start_times;
 mod suspension;
 mod suspension_timeouts;
