Count the time of a long body from when its last byte may have arrived

A server that reads slowly delayed the answer without a bound.

Cause: the deadline of a streamed body began when the agent had read its last byte. A server that takes no more stops the agent's reading, and the last byte stays in the socket. Neither the wait for the final response (pending_response.rs) nor the attempt's timeout (attempts.rs) ended then; only the limit on stalled writes did, 3 s, and not at all if the server read on slowly. An earlier mend (`unread_since`) covered only bodies of which no attempt had read anything. The same gap was in the time that is counted when the last byte is read at last.

Change: body_arrival.rs keeps the latest time at which some of the body certainly had not been sent: the client's socket was empty with a part missing, or more was missing than the sockets hold. `StreamingBody::earliest_completion` replaces `unread_since`, and the final response, the attempt's timeout, the time told to servers and the deadline of a body that has been read count from it.

Why this works: the estimate is never later than the true arrival, so no answer is late, and a client that is still sending moves it on. If the body fits into buffers the agent can't see, the worst is assumed.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -81,8 +81,10 @@
 impl UpstreamRequest {
     /// Returns how long an attempt that begins now may take, in whole milliseconds, if it is canceled at `deadline`.
     fn remaining_time(&self, deadline: Instant) -> Duration {
-        let unread_since = self.body.upload().and_then(|upload| upload.unread_since());
-        let deadline = unread_since.map_or(deadline, |since| deadline.min(since + self.client_timeout));
+        let deadline = self
+            .body
+            .upload()
+            .map_or(deadline, |upload| deadline.min(upload.earliest_completion() + self.client_timeout));
         let remaining = deadline.saturating_duration_since(Instant::now()).min(self.client_timeout);
         Duration::from_millis(remaining.as_millis() as u64)
     }
--- a/crates/agent/src/framing.rs
+++ b/crates/agent/src/framing.rs
@@ -45,6 +45,15 @@
     Desynchronized,
 }
 
+/// What has not been read of a body.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum UnreadBody {
+    /// This many bytes.
+    Known(u64),
+    /// An unknown number of bytes: chunks, of which the last one has not been read.
+    Chunks,
+}
+
 /// Tracks the requests on a connection byte by byte. hyper still parses them and rejects what is malformed.
 #[derive(Default)]
 pub struct RequestTracker {
@@ -192,6 +201,18 @@
             || (self.state == State::Head && (self.lines > 0 || self.line_has_text))
     }
 
+    /// What has not been read of the body of the request whose framing was taken last; `None` if all of it has been read.
+    pub fn unread_body(&self) -> Option<UnreadBody> {
+        if !self.pending_heads.is_empty() {
+            return None;
+        }
+        match self.state {
+            State::Body(left, false) => Some(UnreadBody::Known(left)),
+            State::Body(_, true) | State::ChunkSize(..) | State::Trailer(_) => Some(UnreadBody::Chunks),
+            State::Head | State::Desynchronized => None,
+        }
+    }
+
     /// Whether no part of an incomplete request has arrived.
     #[cfg(test)]
     fn is_between_requests(&self) -> bool {
--- a/crates/agent/src/intake.rs
+++ b/crates/agent/src/intake.rs
@@ -169,7 +169,7 @@
         let body = if ended {
             RequestBody::Buffered(concat_chunks(chunks, buffered))
         } else {
-            RequestBody::Streaming(Upload::new(chunks, reader, stated))
+            RequestBody::Streaming(Upload::new(chunks, reader, stated, connection.monitor().clone()))
         };
         let client_timeout = client_timeout.min(class.deadline());
         // The client's timeout runs from the last byte of its request.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod accept;
 mod backend;
+mod body_arrival;
 mod cli;
 mod client_connections;
 mod config;
--- a/crates/agent/src/metered_stream.rs
+++ b/crates/agent/src/metered_stream.rs
@@ -1,7 +1,7 @@
 //! A TCP stream for hyper that also exposes what hyper hides: how much was read and written, whether the peer has closed, and
 //! what the heads of requests state about their length.
 
-use crate::framing::{Framing, RequestTracker};
+use crate::framing::{Framing, RequestTracker, UnreadBody};
 use crate::metrics::ClassCounters;
 use crate::socket_error::retry_on_interrupt;
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -159,6 +159,11 @@
         self.meter.requests.as_ref().is_some_and(|requests| requests.borrow().has_next_request())
     }
 
+    /// What has not been read of the body of the present request; `None` if all of it has been read.
+    pub fn unread_body(&self) -> Option<UnreadBody> {
+        self.meter.requests.as_ref().and_then(|requests| requests.borrow().unread_body())
+    }
+
     /// Whether bytes after a request are not the beginning of another.
     pub fn has_trailing_garbage(&self) -> bool {
         self.meter.requests.as_ref().is_some_and(|requests| requests.borrow().has_trailing_garbage())
--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -1,8 +1,10 @@
 //! Bodies of requests. A short body is buffered completely. Of a longer one the beginning is buffered, and the rest is streamed to
 //! a record server, no faster than the server takes it.
 
+use crate::body_arrival::{may_have_arrived, BodyArrival};
+use crate::metered_stream::StreamMonitor;
 use bytes::Bytes;
-use heronhoist_engine::timing::DeadlineTimer;
+use heronhoist_engine::timing::{stalled_since, DeadlineTimer};
 use heronhoist_engine::StreamingBody;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -27,11 +29,6 @@
 /// 64 kB/s; half of that leaves a margin for delays of this machine.
 pub const MIN_BYTES_PER_S: u64 = 32_000;
 
-/// The maximum number of bytes of a body that a client can have sent while they are not read: what the two socket buffers hold.
-const MAX_UNREAD_BYTES: u64 = 4 * 1024 * 1024;
-/// A read that waits at least this long has waited for the client; bytes in the socket are read sooner.
-const MIN_PAUSE: Duration = Duration::from_millis(10);
-
 /// Why a body did not arrive completely.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum UploadError {
@@ -51,8 +48,6 @@
     waited: Duration,
     /// When the present read began to wait.
     waiting_since: Option<Instant>,
-    /// A read has waited for [`MIN_PAUSE`] since this was last set to false: the rest had not arrived by then.
-    has_paused: bool,
     timer: DeadlineTimer,
 }
 
@@ -60,14 +55,7 @@
     /// A reader of this body, of which nothing has been read.
     pub fn new(body: Incoming) -> Self {
         let timer = DeadlineTimer::new(Instant::now());
-        BodyReader {
-            body,
-            bytes_read: 0,
-            waited: Duration::ZERO,
-            waiting_since: None,
-            has_paused: false,
-            timer,
-        }
+        BodyReader { body, bytes_read: 0, waited: Duration::ZERO, waiting_since: None, timer }
     }
 
     /// Reads the next bytes; `None` at the end. Time counts against the client only while a read waits for it.
@@ -88,7 +76,6 @@
                 let wait = since.elapsed();
                 // The time may include a delay of this process itself, so no more than the timeout counts.
                 self.waited += wait.min(READ_TIMEOUT);
-                self.has_paused |= wait >= MIN_PAUSE;
             }
             return Poll::Ready(match frame {
                 None => None,
@@ -136,36 +123,64 @@
     /// Its total length, if the head states it.
     length: Option<u64>,
     is_consumed: Cell<bool>,
-    /// When its beginning had been read; the rest stays unread until an attempt reads on.
-    unread_since: Instant,
-    /// How long the rest stayed unread after that; `None` if no attempt has read on.
-    unread_for: Cell<Option<Duration>>,
+    /// When its last byte may have arrived.
+    arrival: RefCell<BodyArrival>,
+    /// The connection that it arrives on.
+    client: StreamMonitor,
+    /// The present read found nothing to read, and has waited for the client since.
+    awaits_client: Cell<bool>,
     state: watch::Sender<UploadState>,
 }
 
 impl Upload {
-    /// A body whose beginning has been read.
-    pub fn new(buffered: Vec<Bytes>, rest: BodyReader, length: Option<u64>) -> Rc<Self> {
+    /// A body whose beginning has been read from this connection.
+    pub fn new(
+        buffered: Vec<Bytes>,
+        rest: BodyReader,
+        length: Option<u64>,
+        client: StreamMonitor,
+    ) -> Rc<Self> {
         let state = watch::Sender::new(UploadState::Incomplete);
+        let arrival = RefCell::new(BodyArrival::new(Instant::now()));
         let (buffered, rest) = (RefCell::new(buffered), RefCell::new(Some(rest)));
-        let (is_consumed, unread_since, unread_for) = (Cell::new(false), Instant::now(), Cell::new(None));
-        Rc::new(Upload { buffered, rest, length, is_consumed, unread_since, unread_for, state })
+        let (is_consumed, awaits_client) = (Cell::new(false), Cell::new(false));
+        Rc::new(Upload { buffered, rest, length, is_consumed, arrival, client, awaits_client, state })
+    }
+
+    /// The earliest time at which the last byte can have arrived, by what has been seen until now. It is the present if some of the
+    /// body certainly has not arrived.
+    pub fn earliest_completion(&self) -> Instant {
+        if let UploadState::Complete(at) = self.state() {
+            return at;
+        }
+        self.observe_arrival();
+        self.arrival.borrow().earliest_completion()
     }
 
-    /// Since when the client may have sent all of it while nobody reads on. `None` if an attempt has read on, or if it is too large to
-    /// have been sent completely.
-    pub fn unread_since(&self) -> Option<Instant> {
-        let may_be_sent_completely = self.length.is_none_or(|bytes| bytes <= MAX_UNREAD_BYTES);
-        (may_be_sent_completely && self.unread_for.get().is_none()).then_some(self.unread_since)
+    /// Notes the time if some of the body certainly has not arrived. Returns whether that is so.
+    fn observe_arrival(&self) -> bool {
+        let unread = self.client.unread_body();
+        let may_be_complete = may_have_arrived(unread, || self.client.has_unread_bytes());
+        if !may_be_complete {
+            self.arrival.borrow_mut().record_incomplete(Instant::now());
+        }
+        !may_be_complete
     }
 
-    /// The state once the last byte has been read. If no read has waited for the client, the whole body had arrived before an attempt
-    /// read on.
-    fn complete_state(&self, rest: &BodyReader) -> UploadState {
-        let unread_for =
-            self.unread_for.get().filter(|_| !rest.has_paused && rest.bytes_read <= MAX_UNREAD_BYTES);
+    /// Notes that a read has returned bytes.
+    fn record_read(&self, bytes_read: u64) {
         let now = Instant::now();
-        UploadState::Complete(now.checked_sub(unread_for.unwrap_or_default()).unwrap_or(now))
+        if self.awaits_client.take() {
+            // They have just arrived, or while the process was suspended.
+            self.arrival.borrow_mut().record_incomplete(stalled_since().unwrap_or(now));
+        }
+        self.arrival.borrow_mut().record_read(now, bytes_read);
+        self.observe_arrival();
+    }
+
+    /// The state once the last byte has been read.
+    fn complete_state(&self) -> UploadState {
+        UploadState::Complete(self.arrival.borrow().earliest_completion())
     }
 
     /// Whether an attempt has taken more than the buffered beginning, so that no other can send the whole body.
@@ -214,21 +229,23 @@
         }
         let mut rest = self.rest.borrow_mut();
         let Some(rest) = rest.as_mut() else { return Poll::Ready(Some(Err(UploadError::Unreadable))) };
-        if self.unread_for.get().is_none() {
-            self.unread_for.set(Some(self.unread_since.elapsed()));
-            rest.has_paused = false;
-        }
-        let next = ready!(rest.poll_next(cx));
+        let Poll::Ready(next) = rest.poll_next(cx) else {
+            if !self.awaits_client.get() {
+                self.awaits_client.set(self.observe_arrival());
+            }
+            return Poll::Pending;
+        };
         match &next {
             Some(Ok(_)) => {
                 self.is_consumed.set(true);
                 self.buffered.borrow_mut().clear();
+                self.record_read(rest.bytes_read);
                 if self.length == Some(rest.bytes_read) {
-                    self.state.send_replace(self.complete_state(rest));
+                    self.state.send_replace(self.complete_state());
                 }
             }
             Some(Err(error)) => drop(self.state.send_replace(UploadState::Failed(*error))),
-            None => drop(self.state.send_replace(self.complete_state(rest))),
+            None => drop(self.state.send_replace(self.complete_state())),
         }
         Poll::Ready(next)
     }
@@ -243,8 +260,8 @@
         Upload::is_consumed(self)
     }
 
-    fn unread_since(&self) -> Option<Instant> {
-        Upload::unread_since(self)
+    fn earliest_completion(&self) -> Instant {
+        Upload::earliest_completion(self)
     }
 
     fn finished(&self) -> Pin<Box<dyn Future<Output = heronhoist_engine::BodyProgress> + '_>> {
@@ -285,6 +302,8 @@
         match self {
             RequestBody::Buffered(bytes) => AttemptBody::Buffered(Full::new(bytes.clone())),
             RequestBody::Streaming(upload) => {
+                // Between two attempts nothing is read, so what arrives then is not seen to arrive.
+                upload.awaits_client.set(false);
                 AttemptBody::Streaming { upload: Rc::clone(upload), next: 0, written: 0 }
             }
         }
--- a/crates/agent/tests/loopback/main.rs
+++ b/crates/agent/tests/loopback/main.rs
@@ -25,3 +25,4 @@
 mod start_times;
 mod suspension;
 mod suspension_timeouts;
+mod upload_deadlines;
--- a/crates/engine/src/pool/attempts.rs
+++ b/crates/engine/src/pool/attempts.rs
@@ -1,6 +1,6 @@
 //! Sends attempts, cancels them, and reports them to the decision module when they have ended.
 
-use super::pending_response::FinalResponse;
+use super::pending_response::{client_timed_out, FinalResponse};
 use super::requests::InFlightAttempt;
 use super::reserves::attempt_reserve;
 use super::Pool;
@@ -187,15 +187,22 @@
 }
 
 /// Waits until an attempt times out. While the request body is still arriving, the attempt does not time out. Once it
-/// is complete, the attempt is limited by the client's timeout too.
+/// is complete, the attempt is limited by the client's timeout too, and so it is once the body may be complete: a server
+/// that does not take the body must not delay the response beyond the client's timeout.
 async fn wait_for_timeout(request: &impl RequestPayload, deadlines: AttemptDeadlines) {
     let Some(body) = request.streaming_body() else {
         return sleep_until_caught_up(deadlines.timeout_at).await;
     };
-    match body.finished().await {
+    let client_timeout = deadlines.client_timeout;
+    let reserve = attempt_reserve(client_timeout);
+    let progress = tokio::select! {
+        biased;
+        progress = body.finished() => progress,
+        () = client_timed_out(body, client_timeout, reserve) => return,
+    };
+    match progress {
         BodyProgress::Complete(at) => {
-            let client_timeout = deadlines.client_timeout;
-            let latest = at + client_timeout - attempt_reserve(client_timeout);
+            let latest = at + client_timeout - reserve;
             sleep_until_caught_up(latest.min(deadlines.timeout_at)).await;
         }
         // The attempt notices this too and ends with a suitable outcome.
--- a/crates/engine/src/pool/pending_response.rs
+++ b/crates/engine/src/pool/pending_response.rs
@@ -78,13 +78,11 @@
 
     /// Waits until the complete body has arrived; returns a final response that is available before.
     ///
-    /// The end of the body may never arrive, because nothing reads a body that no attempt sends. Two further
-    /// conditions end the wait; neither covers the cases of the other:
+    /// The end of the body may never be read: nothing reads a body that no attempt sends, and an attempt reads no more
+    /// than its server takes. Two further conditions end the wait; neither covers the cases of the other:
     ///
-    /// - `unread_timeout` handles a client that may already have sent a short body completely and waits, while no
-    ///   attempt has read it. The client's timeout has been running since then, so it needs its response within that
-    ///   one timeout. This condition does not apply to a body that is too long to have been sent completely, nor to
-    ///   one that an attempt has begun to read.
+    /// - `client_timed_out` handles a client that may already have sent its complete body and waits. Its timeout has
+    ///   been running since then. This condition does not apply while the body certainly has not arrived.
     /// - `request_orphaned` handles those bodies if the attempt has ended, or there was none, and the decision module
     ///   has lost the request. It completes only after more than one timeout, because the module may hold a request
     ///   for that long, and never while an attempt sends the body, however long that takes.
@@ -93,7 +91,9 @@
             biased;
             response = &mut self.response => return Some(response.unwrap_or(FinalResponse::Failed)),
             progress = body.finished() => progress,
-            () = unread_timeout(body, self.client_timeout) => return Some(FinalResponse::DeadlineExceeded),
+            () = client_timed_out(body, self.client_timeout, response_reserve(self.client_timeout)) => {
+                return Some(FinalResponse::DeadlineExceeded);
+            }
             () = self.pool.request_orphaned(self.id, self.client_timeout) => {
                 return Some(FinalResponse::DeadlineExceeded);
             }
@@ -106,14 +106,16 @@
     }
 }
 
-/// Waits for the timeout of a client that may have sent its complete body while nothing reads it. Never returns if an
-/// attempt has begun to read, or if the client can't have sent the complete body.
-async fn unread_timeout(body: &dyn StreamingBody, client_timeout: Duration) {
-    if let Some(since) = body.unread_since() {
-        sleep_until_caught_up(since + client_timeout - response_reserve(client_timeout)).await;
-    }
-    if body.unread_since().is_none() {
-        std::future::pending::<()>().await;
+/// Waits until `reserve` before the end of a client's timeout, counted from the earliest time at which the last byte of
+/// its body can have arrived. Never returns while some of the body certainly has not arrived.
+pub(super) async fn client_timed_out(body: &dyn StreamingBody, client_timeout: Duration, reserve: Duration) {
+    loop {
+        let due = body.earliest_completion() + client_timeout - reserve;
+        if due <= Instant::now() {
+            return;
+        }
+        // More may have been learned about the body by then.
+        sleep_until_caught_up(due).await;
     }
 }
 
--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -1,5 +1,7 @@
 use super::rejection::RETRY_AFTER;
+use super::reserves::ATTEMPT_RESERVE;
 use super::*;
+use crate::clock::span;
 use crate::endpoint_source::{EndpointInfo, EndpointList};
 use crate::quota::Quota;
 use crate::upstream::{
@@ -319,6 +321,56 @@
     }
 }
 
+/// A request whose body its client has sent completely, and of which its server takes nothing.
+struct UntakenRequest {
+    sent_at: Instant,
+}
+
+impl StreamingBody for UntakenRequest {
+    fn progress(&self) -> BodyProgress {
+        BodyProgress::Incomplete
+    }
+    fn is_consumed(&self) -> bool {
+        true
+    }
+    fn earliest_completion(&self) -> Instant {
+        self.sent_at
+    }
+    fn finished(&self) -> Pin<Box<dyn Future<Output = BodyProgress> + '_>> {
+        Box::pin(std::future::pending())
+    }
+}
+
+impl RequestPayload for UntakenRequest {
+    fn streaming_body(&self) -> Option<&dyn StreamingBody> {
+        Some(self)
+    }
+}
+
+/// A server that stops taking a body must not delay the final response beyond the client's timeout, which runs since the
+/// client has sent the last byte. The attempt must end by its timeout, or nothing would be learned about the server.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_its_server_does_not_take_is_answered_in_the_clients_time() {
+    let test = async {
+        let client_timeout = Duration::from_secs(1);
+        let mut options = options(SilentUpstream::<UntakenRequest>::default(), &[SERVER]);
+        options.settings.classes[0].effect = Effect::AtMostOnce;
+        options.settings.classes[0].deadline = span(client_timeout);
+        let pool = pool_with(options);
+        let sent_at = Instant::now();
+        let request = UntakenRequest { sent_at };
+        let streaming = NewRequest { deadline: None, ..NewRequest::new(request, ClassId(0), client_timeout) };
+        let pending = pool.submit(streaming).expect("accepted");
+        let response = tokio::time::timeout(client_timeout, pending.wait(|deadline| deadline)).await;
+        let response = response.expect("a response in the client's time");
+        assert!(
+            matches!(response, FinalResponse::Failed),
+            "{response:?} is not that of an attempt's timeout"
+        );
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 /// A retry must not be sent if the deduplication window ends while its connection is being established.
 #[tokio::test(start_paused = true)]
 async fn no_retry_is_sent_after_the_deduplication_window() {
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -53,10 +53,11 @@
     /// again.
     fn is_consumed(&self) -> bool;
 
-    /// Returns the time from which the client may have sent the complete body without anyone reading it. `None` once
-    /// someone has read more of it, or if the body is too long to fit completely into the transport's buffers.
-    fn unread_since(&self) -> Option<Instant> {
-        None
+    /// Returns the earliest time at which the last byte can have arrived, by what is known now. It is the present if some
+    /// of the body certainly has not arrived. (What the client has sent may lie unread in the transport's buffers, because
+    /// the server does not take it.)
+    fn earliest_completion(&self) -> Instant {
+        Instant::now()
     }
 
     /// Waits until the last byte has arrived or will certainly never arrive.
