--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -367,6 +367,8 @@
             matches!(response, FinalResponse::Failed),
             "{response:?} is not that of an attempt's timeout"
         );
+        let unused = client_timeout.saturating_sub(sent_at.elapsed());
+        assert!(unused <= ATTEMPT_RESERVE, "the attempt ended {unused:?} before the client's timeout");
     };
     LocalSet::new().run_until(test).await;
 }
