Ask for the reason by a renewal when a member's report is refused

Operators saw: after an upgrade the new process was missing from the fleet for good, with "a newer process of the same name has taken over" in its log, though it was the newer one.

Cause: at SIGTERM the old process reports that it is not ready. If its successor already waits for the lease, the service refuses the report with NotLiving, as after an expiry. LeaseHolder took it for an expiry and joined again, which superseded its successor; a superseded process never joins again. The logs of both processes showed it (lease ended, joining again, incarnation 11 of the old).

Change: a refused report releases the lease and a renewal follows, whose response is Superseded or Expired. No message changes.

--- a/crates/coordination/src/lease_holder.rs
+++ b/crates/coordination/src/lease_holder.rs
@@ -155,6 +155,12 @@
         }
         match response {
             Some(Response::Renewed(terms)) => self.handle_renewal(sent_at, terms, now, random),
+            Some(Response::Reply(CommandResult::NotLiving, _)) if self.incarnation.is_some() => {
+                // A report is refused after the lease has expired, and also while a newer process of the name waits, which must
+                // not be displaced by joining again. The response to a renewal distinguishes the two.
+                self.lease.release();
+                self.next_request_at = now;
+            }
             Some(Response::Expired | Response::Reply(CommandResult::NotLiving, _)) => {
                 self.handle_expiry(now, retry_delay);
             }
