Keep a drain's barrier closed while long responses of the server are still received

Cause: an attempt ends with the first bytes of a long response, and with it the count of what is in flight to its server (`end_use`), so `is_drained` saw nothing. For the same reason a removed server was forgotten and a closed pool dropped under such a response, and both count as drained. In an upgrade the new process acknowledges for the agent, and did not know what the old one had in flight.

Change: `Upstream::is_receiving_from`, which the HTTP upstream answers from a count of long responses by server. Such a server is not drained and not forgotten, such a pool is kept, and a process acknowledges no drain while its predecessor runs.

Why this works: the count lasts as long as the connection that the response arrives on belongs to it.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -252,6 +252,10 @@
         self.0.probe(endpoint).await
     }
 
+    fn is_receiving_from(&self, server: ServerId) -> bool {
+        self.0.connections.is_receiving_from(server)
+    }
+
     fn close_idle(&self, server: ServerId) {
         self.0.connections.close_idle(server);
     }
@@ -320,6 +324,7 @@
                             download.keep_connection(Origin {
                                 connection,
                                 endpoint,
+                                _receiving: self.connections.begin_receiving(endpoint.server),
                                 connections: Rc::clone(&self.connections),
                             });
                         }
--- a/crates/agent/src/connections.rs
+++ b/crates/agent/src/connections.rs
@@ -1,6 +1,7 @@
 //! The connections to the servers of a pool: opens them, keeps idle ones for reuse and closes them.
 
 use crate::connect::{Reachability, Tcp};
+use crate::gauge::{Gauge, GaugeGuard};
 use crate::idle_timeout::{ConnectionEnd, IdleTimeout};
 use crate::metered_stream::{MeteredStream, StreamMonitor};
 use crate::reuse::ReuseTrust;
@@ -166,6 +167,8 @@
 /// The connections to all servers of a pool.
 pub struct Connections {
     idle: RefCell<HashMap<ServerId, Vec<Idle>>>,
+    /// The long responses that are being received, by server.
+    receiving: RefCell<HashMap<ServerId, Gauge>>,
     quota: Rc<QuotaShare>,
     registry: Rc<ConnectionRegistry>,
     connect_timeout: Cell<Duration>,
@@ -183,10 +186,12 @@
         keepalive: Duration,
     ) -> Rc<Self> {
         let idle_timeout = IdleTimeout::new(keepalive.mul_f64(IDLE_SHARE));
-        let (idle, connect_timeout) = (RefCell::default(), Cell::new(connect_timeout));
+        let (idle, receiving, connect_timeout) =
+            (RefCell::default(), RefCell::default(), Cell::new(connect_timeout));
         let (registry, reachability, trust) = (Rc::clone(registry), Reachability::default(), Rc::default());
         let connections = Rc::new(Connections {
             idle,
+            receiving,
             quota,
             registry,
             connect_timeout,
@@ -351,6 +356,18 @@
         }
     }
 
+    /// Counts a long response as being received from a server until the guard is dropped.
+    pub fn begin_receiving(&self, server: ServerId) -> GaugeGuard {
+        let mut receiving = self.receiving.borrow_mut();
+        receiving.retain(|_, responses| responses.count() > 0);
+        receiving.entry(server).or_default().increment()
+    }
+
+    /// Returns whether a long response is being received from a server.
+    pub fn is_receiving_from(&self, server: ServerId) -> bool {
+        self.receiving.borrow().get(&server).is_some_and(|responses| responses.count() > 0)
+    }
+
     /// Closes an idle connection so that a new one can be opened; returns false if all are in use. Where demand exceeds the
     /// quota, the least recently used connection is the next that can be reused: to close it each time would leave none idle
     /// long enough, so the most recently used one is closed instead.
--- a/crates/agent/src/download.rs
+++ b/crates/agent/src/download.rs
@@ -1,6 +1,7 @@
 //! Responses too long to be buffered: streamed to the client as they arrive, no faster than the client takes them.
 
 use crate::connections::{Connections, EndpointAddress, PooledConnection};
+use crate::gauge::GaugeGuard;
 use crate::upload::MAX_BODY_BYTES;
 use bytes::Bytes;
 use heronhoist_engine::timing::DeadlineTimer;
@@ -45,6 +46,8 @@
     pub connection: PooledConnection,
     /// The record server and its address.
     pub endpoint: EndpointAddress,
+    /// Counts the response as being received from its server.
+    pub _receiving: GaugeGuard,
     /// The connections of the pool.
     pub connections: Rc<Connections>,
 }
@@ -81,7 +84,7 @@
 
     /// Releases the connection: the response is complete.
     fn release_connection(&mut self) {
-        if let Some(Origin { connection, endpoint, connections }) = self.origin.take() {
+        if let Some(Origin { connection, endpoint, connections, .. }) = self.origin.take() {
             if !connection.monitor.has_ended() {
                 connections.release(endpoint, connection);
             }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -45,6 +45,7 @@
 use reload::{apply_plan, ClassRegistry, Reloader};
 use server::Server;
 use shutdown::{wait_for_last_responses, ShutdownSchedule};
+use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -120,6 +121,7 @@
     if let Some((_, drained)) = &drained {
         pools.follow_drains(drained.clone());
     }
+    let has_predecessor = Rc::new(Cell::new(takeover.is_some()));
     let is_version_valid = takeover.is_none();
     let known = config.known.take().map(|list| KnownEndpoints { list, is_version_valid });
     let serving = apply_plan(&config.plan, &mut classes, &pools, known);
@@ -128,8 +130,10 @@
     let member = config.fleet.as_ref().zip(drained).map(|(fleet, (drained, _))| {
         let (server, drain_pools, capacity_pools) =
             (Rc::clone(&server), Rc::clone(&pools), Rc::clone(&pools));
+        let has_predecessor = Rc::clone(&has_predecessor);
         let (has_stopped_sending, missing_capacity) = (
-            Box::new(move |name: &str| drain_pools.is_drained(name)),
+            // This process reports for the agent, and its predecessor may still have requests in flight.
+            Box::new(move |name: &str| !has_predecessor.get() && drain_pools.is_drained(name)),
             Box::new(move || capacity_pools.missing_capacity()),
         );
         let drains = Drains { drained, has_stopped_sending, missing_capacity };
@@ -203,7 +207,10 @@
         accepting.push((stop_accepting, spawn_local(accept)));
     }
     if let Some(predecessor) = predecessor {
-        spawn_local(predecessor.complete_takeover());
+        spawn_local(async move {
+            predecessor.complete_takeover().await;
+            has_predecessor.set(false);
+        });
     }
     term.recv().await;
 
--- a/crates/agent/src/pools.rs
+++ b/crates/agent/src/pools.rs
@@ -145,7 +145,7 @@
 
     /// Drops the closed pools that have no request in flight any more.
     fn drop_finished_pools(&self) {
-        self.closing.borrow_mut().retain(|pool| pool.engine_pool.stats().open_requests > 0);
+        self.closing.borrow_mut().retain(|pool| !pool.engine_pool.is_idle());
     }
 
     /// Returns whether a server has no request in flight, and will get none while it drains.
--- a/crates/agent/tests/fleet/drains.rs
+++ b/crates/agent/tests/fleet/drains.rs
@@ -1,7 +1,10 @@
 //! Drains of record servers that several agents apply, checked by the requests that the servers receive.
 
-use crate::processes::{lookup, unused_address, wait_until, Fleet, Process, Server};
+use crate::processes::{
+    begin_long_lookup, lookup, unused_address, wait_until, Fleet, Process, Server, LONG_BYTES,
+};
 use heronhoist_coordination::state::MemberStatus;
+use std::io::Read;
 use std::net::SocketAddr;
 
 const BUDGETS: &str = "[[budget]]\nof = \"servers\"\nby = \"all\"\nmost = 1\n\
@@ -85,6 +88,59 @@
     });
 }
 
+/// The operator stops a server once its barrier is open. That must not cut off a long response that an agent is still receiving from
+/// it, although the request's attempt ended with the first bytes.
+#[test]
+fn a_barrier_waits_for_long_responses() {
+    let mut test = TestFleet::new("drain-long", &["n1", "n2"]);
+    let mut response = begin_long_lookup(test.agents[0].1, 1 << 20);
+    let (sender, other) = if test.servers[0].count() > 0 { ("s1", "s2") } else { ("s2", "s1") };
+    assert_eq!(test.fleet.run(&["drain", "server", sender, "--why", "disk"]).0, 0);
+    let quiet = |test: &TestFleet| test.status()["drains"][sender]["quiet"].to_string();
+    wait_until("the other agent has acknowledged the drain", || quiet(&test).contains("n2").then_some(()));
+    // Far longer than the difference between two agents.
+    std::thread::sleep(std::time::Duration::from_secs(1));
+    assert!(!quiet(&test).contains("n1"), "acknowledged while {sender} is still sending a response");
+    assert_eq!(test.status()["drains"][sender]["open"], false);
+    test.send_requests(&[0, 1], 5);
+    test.servers.iter().for_each(Server::release_long_responses);
+    let mut body = Vec::new();
+    response.read_to_end(&mut body).expect("the whole response");
+    assert_eq!(body.len(), LONG_BYTES);
+    wait_until("the barrier opens", || (test.status()["drains"][sender]["open"] == true).then_some(()));
+    assert!(test.fleet.run(&["drain", "server", other, "--why", "too"]).1.contains("(drained)"));
+}
+
+/// During an upgrade the new process acknowledges drains for the agent. It must not do so while the old one is still receiving a
+/// long response from the server.
+#[test]
+fn a_barrier_waits_for_long_responses_of_the_predecessor() {
+    let mut test = TestFleet::new("drain-upgrade", &["n1"]);
+    let front = test.agents[0].1;
+    let old_incarnation = test.fleet.client().wait_living("n1");
+    let mut response = begin_long_lookup(front, 1 << 20);
+    let sender = if test.servers[0].count() > 0 { "s1" } else { "s2" };
+    let endpoints = [("s1", test.servers[0].address), ("s2", test.servers[1].address)];
+    let successor = test.fleet.agent_at_front("n1", "east", &endpoints, front);
+    successor.wait_ready();
+    test.agents[0].0.signal("TERM");
+    let mut client = test.fleet.client();
+    wait_until("the new process holds the lease", || {
+        (client.wait_living("n1") > old_incarnation && successor.lease()?.0).then_some(())
+    });
+    assert_eq!(test.fleet.run(&["drain", "server", sender, "--why", "disk"]).0, 0);
+    // Without the old process, the drain is acknowledged in half of this time.
+    std::thread::sleep(std::time::Duration::from_secs(4));
+    assert!(test.agents[0].0.is_running(), "the old process has cut off the response");
+    assert_eq!(test.status()["drains"][sender]["open"], false, "opened while a response was being received");
+    test.send_requests(&[0], 5);
+    test.servers.iter().for_each(Server::release_long_responses);
+    let mut body = Vec::new();
+    response.read_to_end(&mut body).expect("the whole response");
+    assert_eq!(body.len(), LONG_BYTES);
+    wait_until("the barrier opens", || (test.status()["drains"][sender]["open"] == true).then_some(()));
+}
+
 /// An agent is stopped by a signal before it learns of the drain. The barrier must wait until the agent's lease has expired, and
 /// then lists it as unconfirmed. Resumed, the agent applies the drain under a new incarnation.
 #[test]
--- a/crates/agent/tests/fleet/processes.rs
+++ b/crates/agent/tests/fleet/processes.rs
@@ -5,11 +5,11 @@
 use heronhoist_coordination::wire::{Envelope, Refusal, Request, Response, View, PROTOCOL};
 use rustix::process::{prlimit, Pid, Resource, Rlimit};
 use std::cell::RefCell;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -345,14 +345,25 @@
         site: &str,
         servers: &[(&str, SocketAddr)],
     ) -> (Process, SocketAddr) {
+        let front = free_address();
+        (self.agent_at_front(name, site, servers, front), front)
+    }
+
+    /// Starts an agent whose front listens on this address; if another process of the agent does, as its successor.
+    pub fn agent_at_front(
+        &self,
+        name: &str,
+        site: &str,
+        servers: &[(&str, SocketAddr)],
+        front: SocketAddr,
+    ) -> Process {
         let council = self.coordinator_addresses();
         let part = format!(
             "[fleet]\nname = \"gulf\"\nmember = \"{name}\"\nsite = \"{site}\"\ncouncil = [{council}]\n"
         );
-        let front = free_address();
         let servers: Vec<String> =
             servers.iter().map(|(n, a)| format!("{{ name = \"{n}\", address = \"{a}\" }}")).collect();
-        (self.start_agent(name, &part, front, &servers.join(", ")), front)
+        self.start_agent(name, &part, front, &servers.join(", "))
     }
 
     /// Starts an agent with a configuration file of this project's format, to which `more` is appended.
@@ -507,10 +518,19 @@
     }
 }
 
-/// A record server, which responds to each request and records when each request's head arrived.
+/// The length of a long response.
+pub const LONG_BYTES: usize = 512 * 1024;
+/// The part of a long response that a server sends at once; more than what an agent buffers as a whole.
+const LONG_BEGINNING_BYTES: usize = 128 * 1024;
+/// How often a server sends a byte of a long response after that. An agent gives up on one that is silent for long.
+const LONG_BYTE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A record server, which responds to each request and records when each request's head arrived. Its response to a path that ends
+/// in `/long` is long, and ends only when the test releases it.
 pub struct Server {
     pub address: SocketAddr,
     arrivals: Arc<Mutex<Vec<Instant>>>,
+    is_released: Arc<AtomicBool>,
 }
 
 impl Server {
@@ -518,13 +538,21 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
         let (address, arrivals) = (listener.local_addr().expect("one"), Arc::new(Mutex::new(Vec::new())));
         let shared_arrivals = Arc::clone(&arrivals);
+        let is_released = Arc::new(AtomicBool::new(false));
+        let shared_is_released = Arc::clone(&is_released);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let shared_arrivals = Arc::clone(&shared_arrivals);
-                std::thread::spawn(move || serve(stream, &shared_arrivals));
+                let shared_is_released = Arc::clone(&shared_is_released);
+                std::thread::spawn(move || serve(stream, &shared_arrivals, &shared_is_released));
             }
         });
-        Server { address, arrivals }
+        Server { address, arrivals, is_released }
+    }
+
+    /// Lets the long responses end.
+    pub fn release_long_responses(&self) {
+        self.is_released.store(true, Ordering::Relaxed);
     }
 
     /// Returns the number of requests so far.
@@ -533,21 +561,59 @@
     }
 }
 
-fn serve(mut stream: TcpStream, arrivals: &Mutex<Vec<Instant>>) {
+fn serve(mut stream: TcpStream, arrivals: &Mutex<Vec<Instant>>, is_released: &AtomicBool) {
     let mut head = Vec::new();
     let mut byte = [0];
     while matches!(stream.read(&mut byte), Ok(1)) {
         head.push(byte[0]);
         if head.ends_with(b"\r\n\r\n") {
+            let is_long = String::from_utf8_lossy(&head).contains("/long HTTP/1.1");
             head.clear();
             arrivals.lock().expect("not poisoned").push(Instant::now());
-            if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").is_err() {
+            let sent = if is_long {
+                send_long_response(&mut stream, is_released)
+            } else {
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            };
+            if sent.is_err() {
                 return;
             }
         }
     }
 }
 
+fn send_long_response(stream: &mut TcpStream, is_released: &AtomicBool) -> std::io::Result<()> {
+    write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {LONG_BYTES}\r\n\r\n")?;
+    stream.write_all(&vec![b'x'; LONG_BEGINNING_BYTES])?;
+    let mut left = LONG_BYTES - LONG_BEGINNING_BYTES;
+    while !is_released.load(Ordering::Relaxed) && left > 1 {
+        stream.write_all(b"x")?;
+        left -= 1;
+        std::thread::sleep(LONG_BYTE_INTERVAL);
+    }
+    stream.write_all(&vec![b'x'; left])
+}
+
+/// Sends a client's request for a long response, and returns the connection once its status is 200 and its head has been read.
+pub fn begin_long_lookup(front: SocketAddr, id: usize) -> BufReader<TcpStream> {
+    let mut stream = TcpStream::connect(front).expect("connected");
+    stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("set");
+    let head = format!(
+        "GET /lookup/long HTTP/1.1\r\nHost: x\r\nConnection: close\r\nX-Call-Id: call-{id:016x}\r\nX-Call-Class: lookup\r\n\
+         X-Caller: courts\r\nX-Budget-Ms: 1000\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("written");
+    let mut input = BufReader::new(stream);
+    let mut line = String::new();
+    input.read_line(&mut line).expect("a status line");
+    assert!(line.starts_with("HTTP/1.1 200"), "{line}");
+    while !line.trim_end().is_empty() {
+        line.clear();
+        input.read_line(&mut line).expect("a header");
+    }
+    input
+}
+
 /// Sends a client's lookup request; returns the status of the response.
 pub fn lookup(front: SocketAddr, id: usize) -> Option<u16> {
     let mut stream = TcpStream::connect(front).ok()?;
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -182,7 +182,8 @@
             // idle only later.
             let servers = &state.servers;
             self.0.upstream.close_stale(&|server, incarnation| servers.is_current(server, incarnation));
-            state.servers.remove_expired(self.0.settings.get().drain_grace + REMOVED_SERVER_RETENTION);
+            let retention = self.0.settings.get().drain_grace + REMOVED_SERVER_RETENTION;
+            state.servers.remove_expired(retention, |server| self.0.upstream.is_receiving_from(server));
         }
     }
 
--- a/crates/engine/src/pool/stats.rs
+++ b/crates/engine/src/pool/stats.rs
@@ -43,9 +43,18 @@
     }
 
     /// Returns whether nothing is in flight to the server of this name, and nothing will be sent to it until an
-    /// endpoint list contains it as serving.
+    /// endpoint list contains it as serving. A response that is still being received counts as in flight.
     #[must_use]
     pub fn is_drained(&self, server: &str) -> bool {
-        self.0.state.borrow().servers.is_drained(server, self.0.settings.get().drain_grace)
+        let drain_grace = self.0.settings.get().drain_grace;
+        let is_receiving_from = |server| self.0.upstream.is_receiving_from(server);
+        self.0.state.borrow().servers.is_drained(server, drain_grace, is_receiving_from)
+    }
+
+    /// Returns whether no request is open and no response is being received.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let state = self.0.state.borrow();
+        state.requests.is_empty() && !state.servers.any(|server| self.0.upstream.is_receiving_from(server))
     }
 }
--- a/crates/engine/src/servers/mod.rs
+++ b/crates/engine/src/servers/mod.rs
@@ -90,10 +90,20 @@
     }
 
     /// Returns whether nothing is in flight to the server of this name and nothing will be sent to it. An unknown
-    /// server counts as drained.
-    pub(crate) fn is_drained(&self, name: &str, drain_grace: Duration) -> bool {
+    /// server counts as drained. `is_receiving_from` returns whether a response of a server is still being received.
+    pub(crate) fn is_drained(
+        &self,
+        name: &str,
+        drain_grace: Duration,
+        is_receiving_from: impl Fn(ServerId) -> bool,
+    ) -> bool {
         let server = self.ids.get(name).and_then(|id| self.servers.get(id));
-        server.is_none_or(|server| server.is_drained(drain_grace))
+        server.is_none_or(|server| server.is_drained(drain_grace, is_receiving_from))
+    }
+
+    /// Returns whether this holds for any server that is tracked.
+    pub(crate) fn any(&self, mut condition: impl FnMut(ServerId) -> bool) -> bool {
+        self.servers.keys().any(|server| condition(*server))
     }
 
     /// Counts an attempt or a health check as in flight to a server; `None` if the server is no longer tracked.
@@ -126,9 +136,13 @@
 
     /// Deletes the servers that were removed at least `retention` ago and have nothing in flight. Otherwise servers
     /// that are continually replaced under new names would exhaust memory.
-    pub(crate) fn remove_expired(&mut self, retention: Duration) {
+    pub(crate) fn remove_expired(
+        &mut self,
+        retention: Duration,
+        is_receiving_from: impl Fn(ServerId) -> bool,
+    ) {
         let count_before = self.servers.len();
-        self.servers.retain(|_, server| !server.is_expired(retention));
+        self.servers.retain(|_, server| !server.is_expired(retention, &is_receiving_from));
         if self.servers.len() < count_before {
             self.ids.retain(|_, id| self.servers.contains_key(id));
         }
--- a/crates/engine/src/servers/server.rs
+++ b/crates/engine/src/servers/server.rs
@@ -89,15 +89,30 @@
         self.unavailable_since.is_none_or(|since| since.elapsed() + DRAIN_MARGIN < drain_grace)
     }
 
-    /// Returns whether nothing is in flight to it and nothing will be sent to it.
-    pub(super) fn is_drained(&self, drain_grace: Duration) -> bool {
-        self.in_flight == 0 && !self.may_send(drain_grace)
+    /// Returns whether nothing is in flight to it and nothing will be sent to it. `is_receiving_from` returns whether a
+    /// response of a server is still being received.
+    pub(super) fn is_drained(
+        &self,
+        drain_grace: Duration,
+        is_receiving_from: impl Fn(ServerId) -> bool,
+    ) -> bool {
+        !self.is_in_use(is_receiving_from) && !self.may_send(drain_grace)
     }
 
     /// Returns whether it was removed at least `retention` ago and nothing is in flight to it.
-    pub(super) fn is_expired(&self, retention: Duration) -> bool {
+    pub(super) fn is_expired(
+        &self,
+        retention: Duration,
+        is_receiving_from: impl Fn(ServerId) -> bool,
+    ) -> bool {
         let has_been_removed_for = |since: Instant| since.elapsed() >= retention;
-        self.is_removed && self.in_flight == 0 && self.unavailable_since.is_some_and(has_been_removed_for)
+        self.is_removed
+            && self.unavailable_since.is_some_and(has_been_removed_for)
+            && !self.is_in_use(is_receiving_from)
+    }
+
+    fn is_in_use(&self, is_receiving_from: impl Fn(ServerId) -> bool) -> bool {
+        self.in_flight > 0 || is_receiving_from(self.endpoint.server)
     }
 
     pub(super) fn record_outcome(&mut self, outcome: Outcome) {
--- a/crates/engine/src/servers/tests.rs
+++ b/crates/engine/src/servers/tests.rs
@@ -2,6 +2,14 @@
 use super::*;
 use heronhoist_decision::Status;
 
+fn receives_nothing(_: ServerId) -> bool {
+    false
+}
+
+fn receives_from_all(_: ServerId) -> bool {
+    true
+}
+
 /// Servers that are continually replaced under new names must not be kept. A server that takes the address of a
 /// removed one is a different server, so its id must be new.
 #[tokio::test(start_paused = true)]
@@ -12,13 +20,29 @@
         let endpoints = vec![EndpointInfo::serving(&format!("s{version}"), 80)];
         let listed = servers.apply(EndpointList { version, is_complete: true, endpoints }, |_| {});
         tokio::time::advance(Duration::from_secs(1)).await;
-        servers.remove_expired(Duration::from_secs(2));
+        servers.remove_expired(Duration::from_secs(2), receives_nothing);
         assert!(servers.servers.len() <= 4, "{} servers are kept", servers.servers.len());
         assert_eq!(servers.ids.len(), servers.servers.len());
         assert!(ids.insert(listed[0].server), "an id is used twice");
     }
 }
 
+/// A removed server that is still sending a long response must be kept: an unknown server counts as drained, and its
+/// drain would be acknowledged.
+#[tokio::test(start_paused = true)]
+async fn a_removed_server_is_kept_while_a_response_is_received_from_it() {
+    let mut servers = Servers::new(&ServerNames::default());
+    let list = |version, endpoints| EndpointList { version, is_complete: true, endpoints };
+    servers.apply(list(1, vec![EndpointInfo::serving("s", 80)]), |_| {});
+    servers.apply(list(2, Vec::new()), |_| {});
+    let grace = Duration::from_secs(1);
+    tokio::time::advance(2 * grace).await;
+    servers.remove_expired(grace, receives_from_all);
+    assert!(!servers.is_drained("s", grace, receives_from_all));
+    servers.remove_expired(grace, receives_nothing);
+    assert!(servers.servers.is_empty() && servers.is_drained("s", grace, receives_nothing));
+}
+
 /// Changes that add more and more servers and never remove one must not exhaust memory. Tracked servers must still be
 /// updated.
 #[tokio::test(start_paused = true)]
@@ -42,7 +66,7 @@
         0
     );
     tokio::time::advance(Duration::from_secs(2)).await;
-    servers.remove_expired(Duration::from_secs(1));
+    servers.remove_expired(Duration::from_secs(1), receives_nothing);
     assert_eq!(
         servers.apply(EndpointList { version: 5, is_complete: true, endpoints: last }, |_| {}).len(),
         1
@@ -78,10 +102,10 @@
     servers.apply(list(4, EndpointState::Serving, Some(Time(7))), |_| {});
     assert!(servers.may_send(id, grace) && servers.is_current(id, endpoint.incarnation.next()));
     servers.apply(EndpointList { version: 5, is_complete: true, endpoints: vec![] }, |_| {});
-    servers.remove_expired(Duration::ZERO);
+    servers.remove_expired(Duration::ZERO, receives_nothing);
     assert!(servers.begin_use(id).is_some(), "something is in flight to it");
     (0..2).for_each(|_| servers.end_use(id, Outcome::Cancelled));
-    servers.remove_expired(Duration::ZERO);
+    servers.remove_expired(Duration::ZERO, receives_nothing);
     assert!(servers.begin_use(id).is_none() && !servers.may_send(id, grace));
 }
 
@@ -101,7 +125,10 @@
     };
     let id = servers.apply(list(1, EndpointState::Serving), |_| {})[0].server;
     let (grace, capacity_share) = (Duration::from_millis(500), |_| 0.25);
-    assert!(servers.is_drained("unknown", grace) && !servers.is_drained("s", grace));
+    assert!(
+        servers.is_drained("unknown", grace, receives_nothing)
+            && !servers.is_drained("s", grace, receives_nothing)
+    );
     for (outcome, missing_count) in [
         (Outcome::TimedOut, 0),
         (Outcome::ConnectFailed, 0),
@@ -116,9 +143,10 @@
     servers.begin_use(id);
     servers.apply(list(2, EndpointState::Draining), |_| {});
     tokio::time::advance(grace).await;
-    assert!(!servers.is_drained("s", grace), "something is in flight");
+    assert!(!servers.is_drained("s", grace, receives_nothing), "something is in flight");
     servers.end_use(id, Outcome::Success);
-    assert!(servers.is_drained("s", grace));
+    assert!(!servers.is_drained("s", grace, receives_from_all), "a response is still being received");
+    assert!(servers.is_drained("s", grace, receives_nothing));
     assert_eq!(servers.missing_capacity(capacity_share), [missing("s", 1.0)]);
     let restarted = EndpointInfo { started_at: Some(Time(7)), ..EndpointInfo::serving("s", 80) };
     servers.apply(EndpointList { version: 3, is_complete: false, endpoints: vec![restarted] }, |_| {});
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -145,6 +145,13 @@
         endpoint: EndpointAddress<Self::Address>,
     ) -> impl Future<Output = AttemptResult<Self::Response>>;
 
+    /// Returns whether a response of a server is still being received although its attempt has ended. That is so for a
+    /// long response, which is forwarded as it arrives.
+    fn is_receiving_from(&self, server: ServerId) -> bool {
+        let _ = server;
+        false
+    }
+
     /// Closes the idle connections to a server.
     fn close_idle(&self, server: ServerId);
 
