--- a/crates/agent/tests/loopback/pools.rs
+++ b/crates/agent/tests/loopback/pools.rs
@@ -1,5 +1,7 @@
 //! The project's own configuration format: several pools, fronts and routes in one process, and how reloads change them.
 use crate::common::*;
+use crate::shutdown_streaming::{begin_long_response, long_server, Pace, LONG};
+use std::io::Read;
 use std::net::SocketAddr;
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -98,6 +100,22 @@
     agent.wait_for_metric("app_record_servers_known", 1.0);
 }
 
+/// A reload must not cut off a long response that is received from a server of a pool that it removes.
+#[test]
+fn reload_removes_a_pool_that_receives_a_long_response() {
+    let (folder, other) = (temp_dir(), RecordServer::new(|_| ok("other")));
+    let both =
+        [pool("main", other.address), pool("old", long_server(Pace::Slow, false)), route("once", "old")];
+    let agent = Agent::start_with_toml(&folder, &config_text(1024, FRONT, &both));
+    let mut client = Client::connect(&agent);
+    let mut input = begin_long_response(&mut client, 9000);
+    agent.reload(&config_text(1024, FRONT, &[pool("main", other.address)]));
+    agent.wait_for_metric("app_reloads_ok_total", 1.0);
+    assert_eq!(Client::connect(&agent).exchange(&request("once", 5000)).body, b"other");
+    let mut body = vec![0; LONG];
+    input.read_exact(&mut body).expect("the whole response");
+}
+
 /// A pool without an endpoint list rejects requests at once, with Retry-After, and serves once it has a list.
 #[test]
 fn pool_without_a_list_rejects_at_once() {
--- a/crates/agent/tests/loopback/shutdown_streaming.rs
+++ b/crates/agent/tests/loopback/shutdown_streaming.rs
@@ -12,11 +12,12 @@
 const LONGEST_SHORT_SHUTDOWN: Duration = Duration::from_millis(1700);
 const PIECE_BYTES: usize = 16 * 1024;
 const PIECES: usize = 32;
-const LONG: usize = PIECES * PIECE_BYTES;
+/// The length of a long response.
+pub const LONG: usize = PIECES * PIECE_BYTES;
 
 /// How a server sends a long response.
 #[derive(Clone, Copy)]
-enum Pace {
+pub enum Pace {
     /// In pieces, which together take far longer than [`LONGEST_SHORT_SHUTDOWN`].
     Slow,
     /// As fast as it is taken.
@@ -26,7 +27,7 @@
 }
 
 /// A server whose responses to `once` are long.
-fn long_server(pace: Pace, chunked: bool) -> SocketAddr {
+pub fn long_server(pace: Pace, chunked: bool) -> SocketAddr {
     raw_server(move |stream| {
         let mut input = BufReader::new(stream.try_clone().unwrap());
         let mut output = stream;
@@ -72,8 +73,8 @@
 }
 
 /// Sends a request whose response is long, and reads the head.
-fn begin_long_response(client: &mut Client) -> BufReader<std::net::TcpStream> {
-    client.write(&request("once", 200));
+pub fn begin_long_response(client: &mut Client, budget_ms: u64) -> BufReader<std::net::TcpStream> {
+    client.write(&request("once", budget_ms));
     let mut input = BufReader::new(client.stream.try_clone().unwrap());
     assert_eq!(read_head(&mut input).map(|head| head.status()), Some(200));
     input
@@ -85,7 +86,7 @@
     for chunked in [false, true] {
         let (mut agent, _discovery) = start(long_server(Pace::Slow, chunked));
         let mut client = Client::connect(&agent);
-        let mut input = begin_long_response(&mut client);
+        let mut input = begin_long_response(&mut client, 200);
         agent.terminate();
         let terminated_at = Instant::now();
         let mut body = Vec::new();
@@ -106,7 +107,7 @@
     small.set_recv_buffer_size(2048).unwrap();
     small.connect(&agent.address.into()).unwrap();
     let mut client = Client::from_stream(small.into());
-    let mut input = begin_long_response(&mut client);
+    let mut input = begin_long_response(&mut client, 200);
     agent.terminate();
     let mut body = Vec::new();
     let mut piece = [0; PIECE_BYTES];
@@ -132,7 +133,7 @@
 fn a_streamed_response_that_stalls_does_not_hold_the_process() {
     let (mut agent, _discovery) = start(long_server(Pace::Stalls, false));
     let mut client = Client::connect(&agent);
-    let mut input = begin_long_response(&mut client);
+    let mut input = begin_long_response(&mut client, 200);
     agent.terminate();
     let mut body = Vec::new();
     let _ = input.read_to_end(&mut body);
