Move the responses to clients out of the server into a module of their own

Change: responses.rs has the bodies and the agent's own responses; that a response is counted by its status, or when it ends, stood twice and is one function now. Nothing else changes.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -26,6 +26,7 @@
 mod plan;
 mod pools;
 mod reload;
+mod responses;
 mod reuse;
 mod server;
 mod shutdown;
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,39 +1,40 @@
 //! The side of the clients: accepts their connections and gives each request exactly one response.
 
 use crate::accept::{accept, Listener, ACCEPT_RETRY_DELAY};
-use crate::backend::{ResponseBody, UpstreamRequest, UpstreamResponse};
+use crate::backend::{UpstreamRequest, UpstreamResponse};
 use crate::client_connections::{ClientConnection, ClientConnections, Close};
 use crate::config::Front;
 use crate::dialect::{self, OLD};
-use crate::download::Download;
 use crate::gauge::{Gauge, GaugeGuard};
 use crate::intake::{body_error, check_end, Catalogue, CheckedRequest, RequestError};
 use crate::legacy::{self, ReceivedRequest, Translated};
 use crate::metered_stream::{lingering_close, MeteredStream};
-use crate::metrics::{ClassCounters, LatencyHistograms, Metrics, Outcome};
+use crate::metrics::{LatencyHistograms, Metrics, Outcome};
 use crate::ops::StatusSource;
 use crate::pools::{HttpPool, Pools};
+use crate::responses::{
+    self, error_response, forwarded_response, legacy_response, outcome_of, rejected, text_response,
+    with_close, ClientBody,
+};
 use crate::socket_error::AcceptError;
 use crate::upload::{UploadError, UploadState};
-use bytes::Bytes;
 use heronhoist_config::Protocol;
-use heronhoist_decision::Span;
 use heronhoist_engine::timing::{catch_up, heartbeat, sleep_until_caught_up, timeout, HEARTBEAT_INTERVAL};
-use heronhoist_engine::{FinalResponse, NewRequest, Rejection, Reservation};
+use heronhoist_engine::{FinalResponse, NewRequest, Rejection};
 use heronhoist_routing::{Attributes, Table};
-use heronhoist_translate::wire::error_response::{ErrorResponse, RequestFailure};
+use heronhoist_translate::wire::error_response::RequestFailure;
 use heronhoist_translate::{Mapping, Mappings, Notice, Side};
 use http_body_util::Full;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
 use std::panic::{catch_unwind, AssertUnwindSafe};
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -388,11 +389,7 @@
         };
         let mut response = response
             .unwrap_or_else(|error| error_response(error, pool.and_then(|pool| pool.body_retry_after())));
-        match response.body_mut() {
-            // A streamed response is counted when it ends.
-            ClientBody::Streaming(streaming) => streaming.counters = Some(counters),
-            ClientBody::Buffered(..) => counters.record(outcome_of(response.status())),
-        }
+        responses::count(&mut response, counters);
         response
     }
 
@@ -480,10 +477,7 @@
             Err(error) => error_response(&error),
         };
         self.report_losses(&mapping, &notices, &mut response);
-        match response.body_mut() {
-            ClientBody::Streaming(streaming) => streaming.counters = Some(Rc::clone(&class.counters)),
-            ClientBody::Buffered(..) => class.counters.record(outcome_of(response.status())),
-        }
+        responses::count(&mut response, Rc::clone(&class.counters));
         response
     }
 
@@ -620,144 +614,5 @@
     .await
 }
 
-/// A server's response, unchanged.
-fn forwarded_response(
-    connection: &Rc<ClientConnection>,
-    response: UpstreamResponse,
-    in_flight: Option<GaugeGuard>,
-) -> Response<ClientBody> {
-    let body = match response.body {
-        ResponseBody::Buffered(bytes, reservation) => {
-            ClientBody::Buffered(Full::new(bytes), Some(reservation))
-        }
-        ResponseBody::Streaming(download) => {
-            let (connection, counters) = (Rc::clone(connection), None);
-            connection.begin_streaming();
-            ClientBody::Streaming(StreamedBody {
-                download,
-                connection,
-                counters,
-                is_complete: false,
-                _in_flight: in_flight,
-            })
-        }
-    };
-    let mut forwarded = Response::new(body);
-    if let Some(content_type) = response.content_type {
-        forwarded.headers_mut().insert(CONTENT_TYPE, content_type);
-    }
-    forwarded
-}
-
-/// The body of a response to a client.
-enum ClientBody {
-    /// The whole body, and the memory that is reserved for it.
-    Buffered(
-        Full<Bytes>,
-        #[expect(dead_code, reason = "held until the client has the bytes")] Option<Reservation>,
-    ),
-    /// A body that is still arriving.
-    Streaming(StreamedBody),
-}
-
-/// A body that is forwarded as it arrives.
-struct StreamedBody {
-    download: Box<Download>,
-    connection: Rc<ClientConnection>,
-    counters: Option<Rc<ClassCounters>>,
-    is_complete: bool,
-    _in_flight: Option<GaugeGuard>,
-}
-
-impl Drop for StreamedBody {
-    fn drop(&mut self) {
-        if let Some(counters) = &self.counters {
-            counters.record(if self.is_complete { Outcome::Served } else { Outcome::Failed });
-        }
-        self.connection.end_streaming();
-    }
-}
-
-impl Body for ClientBody {
-    type Data = Bytes;
-    type Error = std::io::Error;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
-        match self.get_mut() {
-            ClientBody::Buffered(body, _) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            ClientBody::Streaming(streaming) => {
-                let frame = ready!(Pin::new(&mut streaming.download).poll_frame(cx));
-                streaming.is_complete = streaming.download.is_end_stream() || frame.is_none();
-                Poll::Ready(frame)
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            ClientBody::Buffered(body, _) => body.is_end_stream(),
-            ClientBody::Streaming(streaming) => streaming.download.is_end_stream(),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            ClientBody::Buffered(body, _) => body.size_hint(),
-            ClientBody::Streaming(streaming) => streaming.download.size_hint(),
-        }
-    }
-}
-
-/// How a request ended, by the status of its response.
-fn outcome_of(status: StatusCode) -> Outcome {
-    match status {
-        StatusCode::OK => Outcome::Served,
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Outcome::Rejected,
-        _ => Outcome::Failed,
-    }
-}
-
-fn text_response(status: StatusCode, text: &'static str) -> Response<ClientBody> {
-    let mut response =
-        Response::new(ClientBody::Buffered(Full::new(Bytes::from_static(text.as_bytes())), None));
-    *response.status_mut() = status;
-    response
-}
-
-/// The response to a rejected request.
-fn rejected(retry_after: Option<Span>) -> Response<ClientBody> {
-    let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "refused");
-    if let Some(Ok(value)) = retry_after.map(|s| HeaderValue::try_from(format!("{:.3}", s.as_ms() / 1e3))) {
-        response.headers_mut().insert(RETRY_AFTER, value);
-    }
-    response
-}
-
-/// An error response in a legacy client's form.
-fn legacy_response(error: ErrorResponse) -> Response<ClientBody> {
-    let mut response = Response::new(ClientBody::Buffered(Full::new(error.body.into()), None));
-    *response.status_mut() = StatusCode::from_u16(error.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(error.content_type));
-    response.headers_mut().extend(error.retry_after.map(|seconds| (RETRY_AFTER, HeaderValue::from(seconds))));
-    response
-}
-
-/// Adds the header by which the connection is closed after the response.
-fn with_close(mut response: Response<ClientBody>) -> Response<ClientBody> {
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
-/// The response to an invalid request, after which the connection is closed.
-fn error_response((status, reason): RequestError, retry_after: Option<Span>) -> Response<ClientBody> {
-    with_close(match status {
-        StatusCode::SERVICE_UNAVAILABLE => rejected(retry_after),
-        status => text_response(status, reason),
-    })
-}
-
 #[cfg(test)]
 mod tests;
