Let the tests of long responses and bodies depend less on the machine's speed

Why: a server thread that is held up for 0.1 s within the first 64 KiB breaks its response, and a client that oversleeps a pause of 1 s by 0.2 s gets a 408. Change: the beginning is written at once, and the pause is 0.8 s with a time of 0.5 s.

--- a/crates/agent/tests/loopback/shutdown_streaming.rs
+++ b/crates/agent/tests/loopback/shutdown_streaming.rs
@@ -12,6 +12,8 @@
 const LONGEST_SHORT_SHUTDOWN: Duration = Duration::from_millis(1700);
 const PIECE_BYTES: usize = 16 * 1024;
 const PIECES: usize = 32;
+/// The pieces that a server sends at once: the agent forwards a response without a length only when more than 64 KiB have arrived.
+const BEGINNING_PIECES: usize = 5;
 /// The length of a long response.
 pub const LONG: usize = PIECES * PIECE_BYTES;
 
@@ -22,7 +24,7 @@
     Slow,
     /// As fast as it is taken.
     Full,
-    /// The first piece, then nothing.
+    /// The beginning, then nothing.
     Stalls,
 }
 
@@ -39,21 +41,18 @@
             let _ = input.read_exact(&mut [0; 4]);
             let framing =
                 if chunked { "Transfer-Encoding: chunked".into() } else { format!("Content-Length: {LONG}") };
-            let _ = write!(output, "HTTP/1.1 200 OK\r\n{framing}\r\n\r\n");
             let piece = "x".repeat(PIECE_BYTES);
-            for n in 0..PIECES {
+            let piece = if chunked { format!("{PIECE_BYTES:x}\r\n{piece}\r\n") } else { piece };
+            // At once: a response that stalls before the agent forwards it is broken.
+            let beginning = format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n{}", piece.repeat(BEGINNING_PIECES));
+            let _ = output.write_all(beginning.as_bytes());
+            for _ in BEGINNING_PIECES..PIECES {
                 match pace {
-                    // The agent forwards a response without a length only once more than 64 KiB of it have arrived.
-                    Pace::Slow if n > 4 => thread::sleep(LONGEST_SHORT_SHUTDOWN / 16),
-                    Pace::Stalls if n > 4 => thread::sleep(TEST_TIMEOUT),
-                    Pace::Slow | Pace::Stalls | Pace::Full => {}
+                    Pace::Slow => thread::sleep(LONGEST_SHORT_SHUTDOWN / 16),
+                    Pace::Stalls => thread::sleep(TEST_TIMEOUT),
+                    Pace::Full => {}
                 }
-                let sent = if chunked {
-                    write!(output, "{PIECE_BYTES:x}\r\n{piece}\r\n")
-                } else {
-                    output.write_all(piece.as_bytes())
-                };
-                if sent.is_err() {
+                if output.write_all(piece.as_bytes()).is_err() {
                     return;
                 }
             }
--- a/crates/agent/tests/loopback/upload_deadlines.rs
+++ b/crates/agent/tests/loopback/upload_deadlines.rs
@@ -163,10 +163,10 @@
 #[test]
 fn a_client_that_sends_for_longer_than_its_time_is_served() {
     for chunked in [false, true] {
-        for (interval, last_pause) in [(8, 8), (0, 1000)] {
-            let (agent, _discovery) = agent(reader(Duration::ZERO), 700, 700);
+        for (interval, last_pause) in [(8, 8), (0, 800)] {
+            let (agent, _discovery) = agent(reader(Duration::ZERO), 500, 500);
             let mut client = Client::connect(&agent);
-            client.write(&upload_head("once", BODY_BYTES, chunked, 700));
+            client.write(&upload_head("once", BODY_BYTES, chunked, 500));
             for n in 1..=BODY_BYTES / PIECE_BYTES {
                 let pause = if n == BODY_BYTES / PIECE_BYTES { last_pause } else { interval };
                 thread::sleep(Duration::from_millis(pause));
