Count the time of a chunked body from its end, also if the end comes after a pause

Callers would see: a client that sends the last chunk of a long body, pauses, and then ends the body, had part of its time taken: a 502 while its server was working.

Cause: what arrives after a wait for the client moves the time of the arrival on, but only a read that returned bytes did so, not the one that found the end (upload.rs, poll_rest). Change: both do.

Measured: a_client_that_sends_for_longer_than_its_time_is_served, with such a pause and a server that works for 0.15 s, fails without the change (502) and passes with it; the four tests of upload_deadlines.rs passed.

--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -245,7 +245,10 @@
                 }
             }
             Some(Err(error)) => drop(self.state.send_replace(UploadState::Failed(*error))),
-            None => drop(self.state.send_replace(self.complete_state())),
+            None => {
+                self.record_read(rest.bytes_read);
+                self.state.send_replace(self.complete_state());
+            }
         }
         Poll::Ready(next)
     }
--- a/crates/agent/tests/loopback/upload_deadlines.rs
+++ b/crates/agent/tests/loopback/upload_deadlines.rs
@@ -15,6 +15,8 @@
 /// What a server reads of a body before it hangs or becomes slow: more than the agent can send again.
 const BEGINNING_BYTES: usize = 128 * 1024;
 const PIECE_BYTES: usize = 2048;
+/// How long a server works on a request.
+const RESPONSE_DELAY: Duration = Duration::from_millis(150);
 
 /// Starts an agent. Requests of class `once` may take `once_ms`, all others `other_ms`.
 fn agent(server: SocketAddr, once_ms: u64, other_ms: u64) -> (Agent, Discovery) {
@@ -84,6 +86,7 @@
                 thread::sleep(pause);
             }
         }
+        thread::sleep(RESPONSE_DELAY);
         let _ = output.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
         let _ = input.read(&mut [0]);
     })
@@ -163,7 +166,7 @@
 #[test]
 fn a_client_that_sends_for_longer_than_its_time_is_served() {
     for chunked in [false, true] {
-        for (interval, last_pause) in [(8, 8), (0, 800)] {
+        for (interval, last_pause, end_pause) in [(8, 8, 0), (0, 800, 0), (0, 0, 450)] {
             let (agent, _discovery) = agent(reader(Duration::ZERO), 500, 500);
             let mut client = Client::connect(&agent);
             client.write(&upload_head("once", BODY_BYTES, chunked, 500));
@@ -172,9 +175,15 @@
                 thread::sleep(Duration::from_millis(pause));
                 write_piece(&client.stream, PIECE_BYTES, chunked);
             }
+            // In chunks, the end of the body may come long after its last byte.
+            thread::sleep(Duration::from_millis(if chunked { end_pause } else { 0 }));
             write_end(&client.stream, chunked);
             let status = client.read().map(|response| response.status());
-            assert_eq!(status, Some(200), "chunked: {chunked}, pauses: {interval}, {last_pause} ms");
+            assert_eq!(
+                status,
+                Some(200),
+                "chunked: {chunked}, pauses: {interval}, {last_pause}, {end_pause} ms"
+            );
         }
     }
 }
