Review case 10: a drain's barrier opens after two upgrades within one long answer

Reason: a process knows its predecessor only, and acknowledges the drain while the process before that one still receives.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 mod partition;
 mod pools;
 mod shutdown;
+mod upgrades;
 mod uploads;
 mod world;
 
@@ -21,6 +22,7 @@
     let verdict = match case.as_str() {
         "partition" => partition::run(&folder, &scratch, trouble),
         "pools" => pools::run(&folder, &scratch, trouble),
+        "upgrades" => upgrades::run(&folder, &scratch, trouble),
         "uploads" => uploads::run(&folder, &scratch, trouble),
         "shutdown" => shutdown::run(&folder, &scratch, trouble),
         _ => world::CANNOT_RUN,
