Let a shutdown count only on deadlines that are still in the settings

Cause: Server::replace_plan kept the longest deadline since the start of the process, so the schedule of the shutdown gave itself the time of a deadline that no longer counts for the kill.

Change: longest_deadline.rs keeps the longest deadline in force. A request of former settings may so get a 504 before its own deadline, but never after the kill.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -20,6 +20,7 @@
 mod intake;
 mod legacy;
 mod log;
+mod longest_deadline;
 mod metered_stream;
 mod metrics;
 mod ops;
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -8,6 +8,7 @@
 use crate::gauge::{Gauge, GaugeGuard};
 use crate::intake::{body_error, check_end, Catalogue, CheckedRequest, RequestError};
 use crate::legacy::{self, ReceivedRequest, Translated};
+use crate::longest_deadline::LongestDeadline;
 use crate::metered_stream::{lingering_close, MeteredStream};
 use crate::metrics::{LatencyHistograms, Metrics, Outcome};
 use crate::ops::StatusSource;
@@ -101,7 +102,7 @@
     pools: Rc<Pools>,
     metrics: Rc<Metrics>,
     is_listening: Cell<bool>,
-    longest_deadline: Cell<Duration>,
+    longest_deadline: Cell<LongestDeadline>,
     connections: ClientConnections,
     open_connections: Gauge,
     limits: Cell<ClientLimits>,
@@ -123,7 +124,7 @@
     ) -> Rc<Self> {
         let (connections, open_connections, is_shutting_down, is_listening, respond_by) = Default::default();
         let (is_finishing, finish_request) = Default::default();
-        let longest_deadline = Cell::new(active_plan.catalogue.longest_deadline());
+        let longest_deadline = Cell::new(LongestDeadline::new(active_plan.catalogue.longest_deadline()));
         let (active_plan, limits) = (RefCell::new(Rc::new(active_plan)), Cell::new(limits));
         Rc::new(Server {
             active_plan,
@@ -146,15 +147,16 @@
         self.limits.set(limits);
     }
 
-    /// The longest time that a request may take.
+    /// The longest deadline that a shutdown which begins now can count on.
     pub fn longest_deadline(&self) -> Duration {
-        self.longest_deadline.get()
+        self.longest_deadline.get().at(Instant::now())
     }
 
     /// Replaces the plan, for requests whose head is read from now on.
     pub fn replace_plan(&self, active_plan: ActivePlan) {
-        // Requests under the former plan may still be in flight, so the longest deadline never decreases.
-        self.longest_deadline.set(self.longest_deadline.get().max(active_plan.catalogue.longest_deadline()));
+        let mut longest_deadline = self.longest_deadline.get();
+        longest_deadline.replace(Instant::now(), active_plan.catalogue.longest_deadline());
+        self.longest_deadline.set(longest_deadline);
         *self.active_plan.borrow_mut() = Rc::new(active_plan);
     }
 
--- a/crates/agent/src/shutdown.rs
+++ b/crates/agent/src/shutdown.rs
@@ -49,7 +49,7 @@
 }
 
 impl ShutdownSchedule {
-    /// The schedule of a shutdown that begins at `start`. `longest_deadline` is the longest time that a request may take.
+    /// The schedule of a shutdown that begins at `start`. `longest_deadline` is the longest one in the settings.
     pub fn new(start: Instant, longest_deadline: Duration) -> Self {
         let accept_until = start + ACCEPT_DURATION;
         ShutdownSchedule {
--- a/crates/agent/tests/loopback/shutdown.rs
+++ b/crates/agent/tests/loopback/shutdown.rs
@@ -2,6 +2,7 @@
 //! with code 0.
 
 use crate::common::*;
+use std::time::{Duration, Instant};
 
 /// A client that connected before the listener closed may send its request after that: no other listener is left for it.
 #[test]
@@ -17,7 +18,7 @@
     agent.terminate();
     // Idle connections are closed once the listener is. The pause leaves time for the agent to close others by mistake.
     assert!(idle.read().is_none());
-    std::thread::sleep(std::time::Duration::from_millis(100));
+    std::thread::sleep(Duration::from_millis(100));
     assert!(std::net::TcpStream::connect(agent.address).is_err());
     assert_eq!(new.exchange(&request("read", 9000)).status(), 200);
     assert!(new.read().is_none(), "and is closed after its response");
@@ -120,7 +121,7 @@
             }
             assert!(unused.read().is_none());
         });
-        std::thread::sleep(std::time::Duration::from_millis(deadline_ms.min(3000) + 700));
+        std::thread::sleep(Duration::from_millis(deadline_ms.min(3000) + 700));
         // Has no effect on a process that has exited.
         let _ = agent.child.kill();
         assert_eq!(agent.wait_for_exit(), Some(0), "{deadline_ms} ms: it was killed");
@@ -128,6 +129,38 @@
     }
 }
 
+/// A shutdown must not count on a deadline that a reload has removed: the kill comes by the deadlines that are left. The request has
+/// a server that hangs, and arrives so late that only the schedule of the shutdown can end it in time.
+#[test]
+fn a_removed_deadline_does_not_delay_the_responses_of_a_shutdown() {
+    const LONGEST_MS: u64 = 1200;
+    let server = RecordServer::new(|_| Action::Hang);
+    let targets = serving("s", server.address);
+    let discovery = Discovery::new(targets.clone());
+    let config = |settings: &str| with_ops(&config(discovery.address, &targets, settings, 1024));
+    let class = r#"{"name":"read","effect":"idempotent","aimMs":600,"deadlineMs":"#;
+    let shorter = short_deadlines();
+    let longer = shorter.replace(&format!("{class}{LONGEST_MS}"), &format!("{class}3000"));
+    assert_ne!(longer, shorter);
+    let mut agent = Agent::start(&config(&longer));
+    agent.reload(&config(&shorter));
+    agent.wait_for_metric("app_reloads_ok_total", 1.0);
+    let mut client = Client::connect(&agent);
+    let text = request("once", LONGEST_MS);
+    let (beginning, rest) = text.split_at(text.len() / 2);
+    client.write(beginning);
+    agent.terminate();
+    let terminated_at = Instant::now();
+    let at = |ms| std::thread::sleep((terminated_at + Duration::from_millis(ms)) - Instant::now());
+    // Its own time ends 0.3 s after the kill.
+    at(LONGEST_MS - 200);
+    client.write(rest);
+    at(LONGEST_MS + 700);
+    let _ = agent.child.kill();
+    let status = client.read().map(|response| response.status());
+    assert!(status.is_some_and(|status| status >= 500), "{status:?}");
+}
+
 /// A request that has been read behind another gets a response too, before the connection is closed.
 #[test]
 fn a_pipelined_request_is_answered_before_the_close() {
@@ -177,7 +210,7 @@
     }
     server.requests.wait_for(1 + lengths.len());
     // Longer than the timeout of a lingering close.
-    std::thread::sleep(std::time::Duration::from_millis(1500));
+    std::thread::sleep(Duration::from_millis(1500));
     for (client, length) in slow.iter_mut().zip(&lengths) {
         let response = client.read().unwrap_or_else(|| panic!("not all of {length}"));
         assert_eq!((response.header("Connection"), response.body.len()), (Some("close"), *length));
