Let a long response outlast a silence of its server or its client

Cause: READ_TIMEOUT in download.rs ended a response that had begun after 4 s of silence, whatever the reason; no deadline applies to such a response, and buildings are cut off for up to 19 s. In the other direction WRITE_STALL_TIMEOUT in client_connections.rs did the same to a client that read nothing for 4 s.

Change: one limit of 26 s for both (peer_silence.rs), which is the latest time at which TCP sends on after an outage of 20 s. What the short limit also did, free connections that others need, is now a rank in the eviction order: a response that has been silent for over 4 s gives way only if a client finds no connection. The ranks are a type instead of numbers.

--- a/crates/agent/src/client_connections.rs
+++ b/crates/agent/src/client_connections.rs
@@ -2,6 +2,8 @@
 
 use crate::framing::Framing;
 use crate::metered_stream::StreamMonitor;
+use crate::peer_silence::{MAX_SILENCE, MIN_EVICTABLE_SILENCE};
+use heronhoist_engine::timing::stalled_since;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -18,8 +20,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// The same while more connections are open than the threshold for closing idle ones.
 const MANY_CONNECTIONS_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
-/// The connection of a client that reads nothing of its response for this long is closed.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// How long a client may take to read its last response before its connection is closed.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(600);
 /// From this age on, a connection without a single byte from the client may be evicted, before any that has carried a
@@ -45,6 +45,19 @@
     Closing,
 }
 
+/// Which connections are evicted first when others need to connect.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+enum EvictionRank {
+    /// Its client has sent nothing, or has got its last response.
+    Unused,
+    /// Its request has stopped arriving.
+    IncompleteRequest,
+    /// It waits for another request.
+    Idle,
+    /// It carries a response whose server or client has been silent for long.
+    SilentResponse,
+}
+
 /// How a connection is closed.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Close {
@@ -65,6 +78,8 @@
     is_reused: Cell<bool>,
     /// A long response is being streamed to the client.
     is_streaming: Cell<bool>,
+    /// Since when the next bytes of that response have been awaited from its server; `None` if they are not.
+    server_silent_since: Cell<Option<Instant>>,
     /// The connection is closed after the present response.
     closes_after_response: Cell<bool>,
     /// What arrives is the rest of a body that is thrown away.
@@ -154,9 +169,16 @@
         self.is_streaming.set(true);
     }
 
+    /// Records whether the next bytes of the streamed response are awaited from its server.
+    pub fn set_awaiting_server(&self, is_awaiting: bool) {
+        let since = self.server_silent_since.get();
+        self.server_silent_since.set(is_awaiting.then(|| since.unwrap_or_else(Instant::now)));
+    }
+
     /// Records that the streamed response has ended.
     pub fn end_streaming(&self) {
         self.is_streaming.set(false);
+        self.server_silent_since.set(None);
         self.finish_response(self.closes_after_response.get());
     }
 
@@ -233,7 +255,7 @@
         let is_stalled = self
             .monitor
             .write_stalled_since()
-            .is_some_and(|since| now.saturating_duration_since(since) > WRITE_STALL_TIMEOUT);
+            .is_some_and(|since| now.saturating_duration_since(since) > MAX_SILENCE);
         let close = match self.phase.get() {
             _ if is_stalled => Some(Close::Immediate),
             // The requests behind it get their responses once the client has taken this one.
@@ -267,25 +289,41 @@
         self.is_streaming.get() || self.has_unsent_bytes() || self.phase.get() == Phase::Closing
     }
 
-    /// The rank in the order of eviction, the lowest first; `None` if the connection must not be evicted.
-    fn eviction_rank(&self, now: Instant) -> Option<(u8, Instant)> {
+    /// Since when the client has read nothing of its response, or its server has sent nothing; `None` if neither is awaited.
+    fn response_silent_since(&self) -> Option<Instant> {
+        self.monitor.write_stalled_since().or(self.server_silent_since.get())
+    }
+
+    /// The rank in the order of eviction, and since when it holds; `None` if the connection must not be evicted.
+    fn eviction_rank(&self, now: Instant) -> Option<(EvictionRank, Instant)> {
+        if self.requested_close.get().is_some() {
+            return None;
+        }
+        if let Some(since) = self.response_silent_since() {
+            // What arrived while the process was suspended has not been read yet.
+            let is_long = now.saturating_duration_since(since) > MIN_EVICTABLE_SILENCE;
+            return (is_long && stalled_since().is_none()).then_some((EvictionRank::SilentResponse, since));
+        }
         let since = self.phase_since.get();
         let age = now.saturating_duration_since(since);
         let has_begun = self.monitor.has_next_request();
         let rank = match self.phase.get() {
-            _ if self.requested_close.get().is_some() || self.has_unsent_bytes() => None,
             Phase::Processing => None,
             // A body that keeps arriving is no reason to close its connection.
             Phase::ReadingBody => {
                 let silence = now.saturating_duration_since(self.last_received.get().1);
-                (age.min(silence) > MIN_BODY_AGE).then_some(1)
+                (age.min(silence) > MIN_BODY_AGE).then_some(EvictionRank::IncompleteRequest)
             }
-            Phase::Closing => (age > MIN_HEAD_AGE).then_some(0),
+            Phase::Closing => (age > MIN_HEAD_AGE).then_some(EvictionRank::Unused),
             Phase::AwaitingRequest if !self.has_carried_request.get() && !has_begun => {
-                (age > MIN_SILENT_AGE).then_some(0)
+                (age > MIN_SILENT_AGE).then_some(EvictionRank::Unused)
+            }
+            Phase::AwaitingRequest if self.has_carried_request.get() && !has_begun => {
+                Some(EvictionRank::Idle)
+            }
+            Phase::AwaitingRequest | Phase::ReadingHead => {
+                (age > MIN_HEAD_AGE).then_some(EvictionRank::IncompleteRequest)
             }
-            Phase::AwaitingRequest if self.has_carried_request.get() && !has_begun => Some(2),
-            Phase::AwaitingRequest | Phase::ReadingHead => (age > MIN_HEAD_AGE).then_some(1),
         };
         rank.map(|rank| (rank, since))
     }
@@ -325,6 +363,7 @@
             has_carried_request: Cell::new(false),
             is_reused: Cell::new(false),
             is_streaming: Cell::new(false),
+            server_silent_since: Cell::new(None),
             closes_after_response: Cell::new(false),
             is_discarding: Cell::new(false),
             last_received: Cell::new((0, Instant::now())),
@@ -356,7 +395,10 @@
         for ((rank, _), connection) in ranked {
             match connection.phase.get() {
                 // A request may just be on its way on an idle connection.
-                _ if rank == 2 => return connection.request_close(Close::Graceful),
+                _ if rank == EvictionRank::Idle => return connection.request_close(Close::Graceful),
+                _ if rank == EvictionRank::SilentResponse => {
+                    return connection.request_close(Close::Immediate)
+                }
                 Phase::Closing => return connection.request_close(Close::Immediate),
                 _ if !connection.monitor.has_unread_bytes() => {
                     return connection.request_close(Close::Immediate)
--- a/crates/agent/src/download.rs
+++ b/crates/agent/src/download.rs
@@ -2,6 +2,7 @@
 
 use crate::connections::{Connections, EndpointAddress, PooledConnection};
 use crate::gauge::GaugeGuard;
+use crate::peer_silence::MAX_SILENCE;
 use crate::upload::MAX_BODY_BYTES;
 use bytes::Bytes;
 use heronhoist_engine::timing::DeadlineTimer;
@@ -12,12 +13,8 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a read may wait for the next bytes from the record server.
-const READ_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// How the head of a response determines where its body ends (RFC 9112, 6.3).
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum BodyLength {
@@ -105,7 +102,7 @@
         loop {
             let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(cx) else {
                 if !std::mem::replace(&mut self.is_waiting, true) {
-                    self.timer.reset(Instant::now() + READ_TIMEOUT);
+                    self.timer.reset(Instant::now() + MAX_SILENCE);
                 }
                 ready!(self.timer.poll_expired(cx));
                 return Poll::Ready(Some(Err(ErrorKind::TimedOut.into())));
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -24,6 +24,7 @@
 mod metered_stream;
 mod metrics;
 mod ops;
+mod peer_silence;
 mod plan;
 mod pools;
 mod reload;
--- a/crates/agent/src/responses.rs
+++ b/crates/agent/src/responses.rs
@@ -87,7 +87,9 @@
         match self.get_mut() {
             ClientBody::Buffered(body, _) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             ClientBody::Streaming(streaming) => {
-                let frame = ready!(Pin::new(&mut streaming.download).poll_frame(cx));
+                let frame = Pin::new(&mut streaming.download).poll_frame(cx);
+                streaming.connection.set_awaiting_server(frame.is_pending());
+                let frame = ready!(frame);
                 streaming.is_complete = streaming.download.is_end_stream() || frame.is_none();
                 Poll::Ready(frame)
             }
--- a/crates/agent/tests/loopback/main.rs
+++ b/crates/agent/tests/loopback/main.rs
@@ -22,6 +22,7 @@
 mod reload;
 mod shutdown;
 mod shutdown_streaming;
+mod silences;
 mod start_times;
 mod suspension;
 mod suspension_timeouts;
