Bound what a client's send buffer holds by the kernel's limits, not by 4 MiB

Cause: while more than MAX_UNREAD_BYTES (4 MiB) had not been read, body_arrival.rs took the body for certainly incomplete, so its time did not run until a stalled write ended the attempt after 3 s. 4 MiB is the default limit of the client's send buffer alone; what lies in the agent's own socket (up to 32 MiB by this machine's tcp_rmem) comes on top, and a client may ask for a larger buffer.

Change: the agent asks the kernel how much lies in its own socket (FIONREAD; that has arrived), and bounds the client's send buffer by the kernel's limits (tcp_wmem, twice wmem_max) and one segment, read once. Only while more is missing than both is a body certainly incomplete.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -30,6 +30,7 @@
 mod reload;
 mod responses;
 mod reuse;
+mod send_buffer;
 mod server;
 mod shutdown;
 mod socket_error;
--- a/crates/agent/src/metered_stream.rs
+++ b/crates/agent/src/metered_stream.rs
@@ -227,6 +227,22 @@
         }
     }
 
+    /// The number of bytes that have arrived and have not been read. Where the kernel doesn't say how many, the most that the socket
+    /// can hold.
+    pub fn unread_bytes(&self) -> u64 {
+        let Some(stream) = self.stream.upgrade().filter(|stream| matches!(peek(stream), Ok(n) if n > 0))
+        else {
+            return 0;
+        };
+        match rustix::io::ioctl_fionread(&*stream) {
+            Ok(bytes @ 1..) => bytes,
+            Ok(0) | Err(_) => {
+                let capacity = socket2::SockRef::from(&*stream).recv_buffer_size();
+                capacity.map_or(u64::MAX, |bytes| bytes as u64)
+            }
+        }
+    }
+
     /// Whether the peer has sent bytes that have not been read.
     pub fn has_unread_bytes(&self) -> bool {
         self.stream.upgrade().is_some_and(|stream| matches!(peek(&stream), Ok(n) if n > 0))
--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -1,8 +1,9 @@
 //! Bodies of requests. A short body is buffered completely. Of a longer one the beginning is buffered, and the rest is streamed to
 //! a record server, no faster than the server takes it.
 
-use crate::body_arrival::{may_have_arrived, BodyArrival};
+use crate::body_arrival::BodyArrival;
 use crate::metered_stream::StreamMonitor;
+use crate::send_buffer::max_send_buffer_bytes;
 use bytes::Bytes;
 use heronhoist_engine::timing::{stalled_since, DeadlineTimer};
 use heronhoist_engine::StreamingBody;
@@ -141,7 +142,7 @@
         client: StreamMonitor,
     ) -> Rc<Self> {
         let state = watch::Sender::new(UploadState::Incomplete);
-        let arrival = RefCell::new(BodyArrival::new(Instant::now()));
+        let arrival = RefCell::new(BodyArrival::new(Instant::now(), max_send_buffer_bytes()));
         let (buffered, rest) = (RefCell::new(buffered), RefCell::new(Some(rest)));
         let (is_consumed, awaits_client) = (Cell::new(false), Cell::new(false));
         Rc::new(Upload { buffered, rest, length, is_consumed, arrival, client, awaits_client, state })
@@ -159,23 +160,28 @@
 
     /// Notes the time if some of the body certainly has not arrived. Returns whether that is so.
     fn observe_arrival(&self) -> bool {
-        let unread = self.client.unread_body();
-        let may_be_complete = may_have_arrived(unread, || self.client.has_unread_bytes());
+        self.observe_arrival_with(self.client.unread_bytes())
+    }
+
+    /// The same if so many bytes lie in the client's socket.
+    fn observe_arrival_with(&self, in_socket: u64) -> bool {
+        let mut arrival = self.arrival.borrow_mut();
+        let may_be_complete = arrival.may_be_complete(self.client.unread_body(), in_socket);
         if !may_be_complete {
-            self.arrival.borrow_mut().record_incomplete(Instant::now());
+            arrival.record_incomplete(Instant::now());
         }
         !may_be_complete
     }
 
     /// Notes that a read has returned bytes.
     fn record_read(&self, bytes_read: u64) {
-        let now = Instant::now();
+        let (now, in_socket) = (Instant::now(), self.client.unread_bytes());
         if self.awaits_client.take() {
             // They have just arrived, or while the process was suspended.
             self.arrival.borrow_mut().record_incomplete(stalled_since().unwrap_or(now));
         }
-        self.arrival.borrow_mut().record_read(now, bytes_read);
-        self.observe_arrival();
+        self.arrival.borrow_mut().record_read(now, bytes_read, in_socket);
+        self.observe_arrival_with(in_socket);
     }
 
     /// The state once the last byte has been read.
--- a/crates/agent/tests/loopback/upload_deadlines.rs
+++ b/crates/agent/tests/loopback/upload_deadlines.rs
@@ -144,6 +144,37 @@
     }
 }
 
+/// The same where more lies in the client's send buffer than the kernel uses by default: the request has been written, so its time runs,
+/// whatever share of it has reached the agent.
+#[test]
+fn a_server_that_hangs_does_not_delay_the_response_to_a_body_in_a_large_send_buffer() {
+    let (server, has_beginning) = slow_reader(None);
+    let (agent, _discovery) = agent(server, 2500, 1000);
+    let large = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    // As much as the system allows: 8 MiB where the limit is 4 MiB, since the kernel doubles it.
+    large.set_send_buffer_size(1 << 30).unwrap();
+    let body_bytes = BEGINNING_BYTES + large.send_buffer_size().unwrap() / 4 * 3;
+    large.connect(&agent.address.into()).unwrap();
+    let (mut short, mut long) = (Client::connect(&agent), Client::from_stream(large.into()));
+    let (log, responses) = mpsc::channel();
+    let written = log.clone();
+    short.write(&request("once", 2500));
+    let writing = thread::spawn(move || {
+        long.write(&upload_head("all", body_bytes, false, 1000));
+        write_piece(&long.stream, body_bytes, false);
+        written.send(("written", None)).unwrap();
+        log.send(("long", long.read().map(|response| response.status()))).unwrap();
+    });
+    has_beginning.recv_timeout(TEST_TIMEOUT).expect("the long request is sent to the server");
+    let reading = thread::spawn(move || short.read());
+    assert_eq!(responses.recv_timeout(TEST_TIMEOUT), Ok(("written", None)));
+    let status = responses.recv_timeout(TEST_TIMEOUT).unwrap().1;
+    assert!(matches!(status, Some(502..=504)), "{status:?}");
+    assert!(!reading.is_finished(), "the request with the longer time was first");
+    writing.join().unwrap();
+    reading.join().unwrap();
+}
+
 /// A server that takes a body in small pieces never stalls, so no limit on stalls ends the wait: the time of the client must.
 #[test]
 fn a_server_that_reads_slowly_does_not_delay_the_response_to_a_long_body() {
