--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -1,23 +1,28 @@
 //! Sends attempts and health probes to record servers, and converts their responses and failures to outcomes.
 
+mod messages;
+mod stalls;
+
 use crate::connections::{ConnectionUsage, Connections, EndpointAddress, PooledConnection};
 use crate::dialect::{NEW, OLD};
 use crate::download::{BodyLength, Download, Origin};
 use crate::idle_timeout::ConnectionEnd;
 use crate::metered_stream::StreamMonitor;
 use crate::metrics::ClassCounters;
-use crate::stall_timeout::{StallTimeout, BASE_TIMEOUT};
-use crate::upload::{AttemptBody, RequestBody, UploadState, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
+use crate::stall_timeout::StallTimeout;
+use crate::upload::{RequestBody, UploadState, MAX_BUFFERED_BYTES};
 use bytes::{Bytes, BytesMut};
 use heronhoist_decision::{DialectId, Outcome, ServerId};
-use heronhoist_engine::timing::{catch_up, sleep_until_caught_up, timeout, timeout_at};
+use heronhoist_engine::timing::{catch_up, timeout_at};
 use heronhoist_engine::{Gate, Incarnation, QuotaShare, Reservation, StreamingBody, Upstream};
 use heronhoist_translate::wire::error_response::is_rejection;
 use heronhoist_translate::Mapping;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
+use hyper::{Method, Response, StatusCode, Uri};
+use messages::{body_length, build_http_request};
+use stalls::{response_stalled, write_stalled};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -29,10 +34,6 @@
 
 /// The maximum number of bytes read for a buffered response: its body in small chunks, its head, and 1xx responses before it.
 const MAX_BUFFERED_READ_BYTES: u64 = 4 * MAX_BUFFERED_BYTES as u64;
-/// An attempt is given up when its server accepts no more bytes of the request for this long.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(3);
-/// The interval at which stalled writes are checked for.
-const WRITE_STALL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// A response of unknown length is forwarded as a stream once more bytes than this have arrived, ...
 const MIN_STREAMING_BYTES: usize = 4 * 1024;
 /// ... and this much time has passed.
@@ -545,93 +546,5 @@
     body.freeze()
 }
 
-/// Returns when the peer has accepted none of the unsent bytes for [`WRITE_STALL_TIMEOUT`].
-async fn write_stalled(monitor: &StreamMonitor) {
-    loop {
-        sleep_until_caught_up(Instant::now() + WRITE_STALL_CHECK_INTERVAL).await;
-        if monitor.write_stalled_since().is_some_and(|since| since.elapsed() > WRITE_STALL_TIMEOUT) {
-            return;
-        }
-    }
-}
-
-/// Returns how the head of a response delimits its body; `None` if the framing headers are repeated, conflicting or invalid, or
-/// the length exceeds [`MAX_BODY_BYTES`]. The bytes after such a head can't be trusted.
-fn body_length(status: StatusCode, headers: &HeaderMap) -> Option<BodyLength> {
-    let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
-    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
-    if status == StatusCode::SWITCHING_PROTOCOLS {
-        return None;
-    }
-    match (lengths.next(), lengths.next(), codings.next(), codings.next()) {
-        (Some(length), None, None, None) => {
-            let length = length.to_str().ok()?.parse().ok();
-            length.filter(|length| *length <= MAX_BODY_BYTES).map(BodyLength::Known)
-        }
-        (None, None, Some(coding), None) => {
-            coding.as_bytes().eq_ignore_ascii_case(b"chunked").then_some(BodyLength::Chunked)
-        }
-        (None, None, None, None) => Some(BodyLength::CloseDelimited),
-        _ => None,
-    }
-}
-
-/// Returns when a response has begun and no more of it has arrived for the stall timeout: it is broken, and waiting for more
-/// would take until the attempt times out.
-async fn response_stalled(
-    monitor: &StreamMonitor,
-    received: u64,
-    got_informational: &AtomicBool,
-    stall_timeout: &StallTimeout,
-) {
-    loop {
-        monitor.bytes_arrived().await;
-        if monitor.bytes_received() == received {
-            continue;
-        }
-        loop {
-            while timeout(BASE_TIMEOUT, monitor.bytes_arrived()).await.is_ok() {}
-            if got_informational.swap(false, Ordering::Relaxed) {
-                break;
-            }
-            let Some(extension) = stall_timeout.extension() else { return };
-            let resumed = timeout(extension, monitor.bytes_arrived()).await.is_ok();
-            stall_timeout.record(resumed);
-            if !resumed {
-                return;
-            }
-        }
-    }
-}
-
-/// Builds the HTTP request to a server: the client's own, with the time that remains for this attempt. (The old dialect has no
-/// header for that time.)
-fn build_http_request(
-    request: &UpstreamRequest,
-    endpoint: EndpointAddress,
-    remaining_time: Duration,
-) -> Request<AttemptBody> {
-    let host = HeaderValue::from_str(&endpoint.address.to_string());
-    if let Some(legacy) = request.legacy.as_deref().filter(|_| endpoint.dialect == OLD) {
-        let mut http_request = Request::new(RequestBody::Buffered(legacy.body.clone()).attempt_body());
-        *http_request.method_mut() = legacy.method.clone();
-        *http_request.uri_mut() = legacy.uri.clone();
-        *http_request.headers_mut() = legacy.headers.clone();
-        if let Ok(host) = host {
-            http_request.headers_mut().entry(HOST).or_insert(host);
-        }
-        return http_request;
-    }
-    let mut http_request = Request::new(request.body.attempt_body());
-    *http_request.method_mut() = request.method.clone();
-    *http_request.uri_mut() = request.uri.clone();
-    *http_request.headers_mut() = request.headers.clone();
-    http_request.headers_mut().insert("x-budget-ms", HeaderValue::from(remaining_time.as_millis() as u64));
-    if let Ok(host) = host {
-        http_request.headers_mut().entry(HOST).or_insert(host);
-    }
-    http_request
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/agent/src/backend/tests.rs
+++ b/crates/agent/src/backend/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::connections::ConnectionRegistry;
+use heronhoist_engine::timing::timeout;
 use heronhoist_engine::Quota;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
