Let the test of evicted silent responses fail without the eviction

The other client now waits for half of the limit, and responses that were not in its way have to go on to their end.

--- a/crates/agent/tests/loopback/silences.rs
+++ b/crates/agent/tests/loopback/silences.rs
@@ -10,6 +10,8 @@
 
 /// Longer than a silence after which a response gives way to other clients.
 const SILENCE: Duration = Duration::from_millis(4500);
+/// After this silence every response ends, whether or not other clients need its connection.
+const SILENCE_LIMIT: Duration = Duration::from_secs(26);
 /// What a server sends before it is silent: more than is buffered of a response without a length.
 const BEGINNING_BYTES: usize = 80 * 1024;
 const LONG: usize = 1024 * 1024;
@@ -123,14 +125,20 @@
     assert_eq!(read_rest(&mut input, 0), Some(LONG));
 }
 
-/// Guards against responses of silent servers that hold all connections, so that other clients find none.
+/// Guards against responses of silent servers that hold all connections, so that other clients find none, and against ending more of
+/// them than other clients need.
 #[test]
 fn responses_of_silent_servers_give_way_to_other_clients() {
+    const CONNECTIONS: usize = 8;
     let (server, go_on) = silent_server();
     // 64 descriptors less the reserve leave 8 connections for clients.
     let (agent, _discovery) = agent(server, 64);
-    let silent: Vec<_> = (0..8).map(|_| begin_response(&agent, 0)).collect();
+    let mut silent: Vec<_> = (0..CONNECTIONS).map(|_| begin_response(&agent, 0)).collect();
     let mut other = Client::connect(&agent);
+    other.stream.set_read_timeout(Some(SILENCE_LIMIT / 2)).unwrap();
     assert_eq!(other.exchange(&request("read", 9000)).status(), 200);
-    drop((silent, go_on));
+    silent.iter().for_each(|_| go_on.send(()).unwrap());
+    let whole =
+        silent.iter_mut().filter_map(|input| read_rest(input, 0)).filter(|bytes| *bytes == LONG).count();
+    assert!((1..CONNECTIONS).contains(&whole), "{whole} responses went on");
 }
