Bound in time what a wait does to read arrived data, and one connection's turn

What callers saw: while other clients sent at full speed, responses came more than a second late or not in their client's time.

Cause: a wait that has expired first lets the event loop read what has arrived, for up to 128 turns after a stall. In a flood one turn takes milliseconds, the heartbeat itself waits that way and so is late, and everything then counts as stalled: the waits grow with the flood. And hyper handles up to 16 requests of one connection in a turn.

Change: such a wait ends after 30 ms, but not before four turns; a request that others follow on its connection waits for the next turn.

The unit test a_wait_takes_few_turns_of_a_busy_event_loop fails without the change.

--- a/crates/agent/src/server/connection.rs
+++ b/crates/agent/src/server/connection.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 /// How long a connection that is being closed may wait for its pending responses at a time.
@@ -49,6 +50,10 @@
             let (server, front, connection) = (Rc::clone(self), Rc::clone(front), Rc::clone(connection));
             async move {
                 connection.begin_request();
+                // hyper would handle up to 16 requests that have been read before any other connection gets its turn.
+                if connection.monitor().has_next_request() {
+                    yield_now().await;
+                }
                 let mut response = tokio::select! {
                     biased;
                     response = catch_panic(server.handle(&front, &connection, request)) => response,
--- a/crates/engine/src/timing.rs
+++ b/crates/engine/src/timing.rs
@@ -23,6 +23,9 @@
 const MIN_CATCH_UP_YIELDS: u32 = 4;
 /// The same after a stall, when there is more to read: a list of thousands of entries arrives in dozens of chunks.
 const MAX_CATCH_UP_YIELDS: u32 = 128;
+/// After this time and [`MIN_CATCH_UP_YIELDS`] no more yields follow. In a busy event loop each yield takes long, and a
+/// final response must not be late by many of them.
+const MAX_CATCH_UP_DURATION: Duration = Duration::from_millis(30);
 
 thread_local! {
     /// When the event loop of this thread last ran and had read all available data; `None` if there are no
@@ -45,10 +48,17 @@
 }
 
 /// Returns at once while the event loop is running; after a stall, once the data that arrived meanwhile has been
-/// processed.
+/// processed, but not much later than [`MAX_CATCH_UP_DURATION`].
 pub async fn catch_up() {
-    for _ in 0..MAX_CATCH_UP_YIELDS {
-        if stalled_since().is_none() {
+    yield_while(|| stalled_since().is_some()).await;
+}
+
+/// Yields to the event loop while `condition` holds, within the limits of a catch-up.
+async fn yield_while(condition: impl Fn() -> bool) {
+    let start = Instant::now();
+    for yields in 0..MAX_CATCH_UP_YIELDS {
+        let is_out_of_time = yields >= MIN_CATCH_UP_YIELDS && start.elapsed() >= MAX_CATCH_UP_DURATION;
+        if is_out_of_time || !condition() {
             return;
         }
         yield_now().await;
@@ -58,8 +68,11 @@
 /// Lets the tasks process the data that has arrived, at the end of a wait that was due at `due`.
 async fn yield_to_event_loop(due: Instant) {
     let has_stalled = due.elapsed() > MAX_HEARTBEAT_DELAY || stalled_since().is_some();
-    let yields = if has_stalled { MAX_CATCH_UP_YIELDS } else { MIN_CATCH_UP_YIELDS };
-    for _ in 0..yields {
+    if has_stalled {
+        yield_while(|| true).await;
+        return;
+    }
+    for _ in 0..MIN_CATCH_UP_YIELDS {
         yield_now().await;
     }
 }
--- a/crates/engine/src/timing/tests.rs
+++ b/crates/engine/src/timing/tests.rs
@@ -151,3 +151,39 @@
         }
     });
 }
+
+/// In an event loop whose turns are long because of other tasks, a wait must not take more of them than it needs.
+#[test]
+fn a_wait_takes_few_turns_of_a_busy_event_loop() {
+    LAST_HEARTBEAT.set(None);
+    let turn = MAX_HEARTBEAT_DELAY + Duration::from_millis(10);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.unwrap(), async {
+        let turns = Rc::new(Cell::new(0));
+        let counter = Rc::clone(&turns);
+        spawn_local(async move {
+            loop {
+                std::thread::sleep(turn);
+                counter.set(counter.get() + 1);
+                yield_now().await;
+            }
+        });
+        heartbeat().await;
+        let beating = spawn_local(async {
+            loop {
+                heartbeat().await;
+                tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+            }
+        });
+        for wait in [Duration::from_millis(1), HEARTBEAT_INTERVAL * 3] {
+            let due = Instant::now() + wait;
+            sleep_until_caught_up(due).await;
+            let late = due.elapsed();
+            assert!(late < turn * 2 * MIN_CATCH_UP_YIELDS, "late by {late:?}");
+            let before = turns.get();
+            catch_up().await;
+            assert!(turns.get() - before <= MIN_CATCH_UP_YIELDS, "{} turns", turns.get() - before);
+        }
+        beating.abort();
+    });
+}
