Don't take a pause of a server within its response for the end of it

What callers saw: responses were cut off 100 or 600 ms after their server paused, after the head or within the body; requests that must not be repeated got a 502 although they had run, others were sent to one server after another and rejected in the end.

Cause: response_stalled ended an attempt whose response had begun and stalled. The limit stood for 'this response is broken', which a pause does not show. The decision module could do the same: it did not know that a response had begun and cancelled its attempt as overdue.

Change: a pause ends nothing. The engine tells the decision module that a response has begun (its server is not silent) and that it has stalled; the module may then send the request to another server beside it, where class, settings, retry budget and attempts allow it. What has come of a response that is long, or whose length is not known, is forwarded when it pauses, after 1 s, or when the time of its client is up.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -14,7 +14,9 @@
 use bytes::{Bytes, BytesMut};
 use heronhoist_decision::{DialectId, Outcome, ServerId};
 use heronhoist_engine::timing::{catch_up, timeout_at};
-use heronhoist_engine::{Gate, Incarnation, QuotaShare, Reservation, StreamingBody, Upstream};
+use heronhoist_engine::{
+    Gate, Incarnation, QuotaShare, Reservation, ResponseProgress, StreamingBody, Upstream,
+};
 use heronhoist_translate::wire::error_response::is_rejection;
 use heronhoist_translate::Mapping;
 use http_body_util::BodyExt;
@@ -22,7 +24,7 @@
 use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
 use hyper::{Method, Response, StatusCode, Uri};
 use messages::{body_length, build_http_request};
-use stalls::{response_stalled, write_stalled};
+use stalls::{watch_response, write_stalled};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -30,7 +32,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, Instant};
 
 /// The maximum number of bytes read for a buffered response: its body in small chunks, its head, and 1xx responses before it.
 const MAX_BUFFERED_READ_BYTES: u64 = 4 * MAX_BUFFERED_BYTES as u64;
@@ -38,6 +41,8 @@
 const MIN_STREAMING_BYTES: usize = 4 * 1024;
 /// ... and this much time has passed.
 const STREAMING_DELAY: Duration = Duration::from_millis(50);
+/// What has arrived of a response of unknown length is held back for at most this long: a client may count a longer time as a loss.
+const MAX_HOLD_TIME: Duration = Duration::from_secs(1);
 /// The time after which a health probe without a response has failed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// The largest valid value in a load report.
@@ -174,6 +179,43 @@
     }
 }
 
+/// What decides on a response while it arrives.
+struct ResponseArrival<'a> {
+    gate: &'a Gate<'a>,
+    /// It is too long to be buffered by its head, or probably so by what has arrived: it is forwarded when it pauses.
+    is_long: Cell<bool>,
+    /// Whether its beginning has been reported.
+    has_begun: Cell<bool>,
+    /// Notified when a long response pauses.
+    paused: Notify,
+}
+
+impl ResponseArrival<'_> {
+    /// Handles a pause: what has arrived of a long response is forwarded. Returns false for any other.
+    fn forward_if_long(&self) -> bool {
+        if self.is_long.get() {
+            self.paused.notify_one();
+        }
+        self.is_long.get()
+    }
+
+    /// Reports that the response has begun, and waits until what has arrived must be forwarded: the client waits for its first
+    /// bytes, and there may be no more in time. Never returns if only the whole response can be forwarded.
+    async fn must_forward(&self, can_forward_part: bool, hold_until: Instant) {
+        if !self.has_begun.replace(true) {
+            self.gate.report(ResponseProgress::Begun);
+        }
+        if !can_forward_part {
+            return std::future::pending().await;
+        }
+        tokio::select! {
+            () = self.paused.notified() => {}
+            () = self.gate.time_up() => {}
+            () = sleep_until(hold_until) => {}
+        }
+    }
+}
+
 /// Why an exchange yielded no response.
 enum ExchangeError {
     /// The connection ended, or the response could not be parsed.
@@ -308,7 +350,7 @@
             let result = tokio::select! {
                 biased;
                 () = count_attempt => Err(ExchangeError::InvalidResponse),
-                result = self.exchange(&mut connection, request, endpoint, remaining_time) => result,
+                result = self.exchange(&mut connection, request, endpoint, remaining_time, gate) => result,
                 () = write_stalled(&monitor) => Err(ExchangeError::WriteStalled),
             };
             let written = monitor.bytes_written() - written_before;
@@ -367,6 +409,7 @@
         request: &UpstreamRequest,
         endpoint: EndpointAddress,
         remaining_time: Duration,
+        gate: &Gate<'_>,
     ) -> Result<AttemptResult, ExchangeError> {
         let monitor = connection.monitor.clone();
         let sender = connection.sender().ok_or(ExchangeError::Connection)?;
@@ -377,26 +420,41 @@
         hyper::ext::on_informational(&mut http_request, move |_| flag.store(true, Ordering::Relaxed));
         let received = monitor.bytes_received();
         monitor.begin_request(MAX_BUFFERED_READ_BYTES, request.client.clone());
+        let arrival = ResponseArrival {
+            gate,
+            is_long: Cell::new(false),
+            has_begun: Cell::new(false),
+            paused: Notify::new(),
+        };
         let send_and_read = async {
             let response =
                 sender.try_send_request(http_request).await.map_err(|_| ExchangeError::Connection)?;
-            self.read(response, &monitor, endpoint.dialect).await
+            self.read(response, &monitor, endpoint.dialect, &arrival).await
         };
+        let watching = watch_response(
+            &monitor,
+            received,
+            &got_informational,
+            &self.stall_timeout,
+            || arrival.forward_if_long(),
+            || gate.report(ResponseProgress::Stalled),
+        );
         tokio::select! {
             biased;
             result = send_and_read => result,
-            () = response_stalled(&monitor, received, &got_informational, &self.stall_timeout)
-                => Err(ExchangeError::InvalidResponse),
+            never = watching => match never {},
         }
     }
 
     /// Reads a response. A short one is read to its end, so that an invalid one is not forwarded; a long one only until it is
-    /// known to be long.
+    /// known to be long. One whose length is not known counts as long when the time of the attempt is up, or when it has been held
+    /// back for long.
     async fn read(
         &self,
         response: Response<Incoming>,
         monitor: &StreamMonitor,
         dialect: DialectId,
+        arrival: &ResponseArrival<'_>,
     ) -> Result<AttemptResult, ExchangeError> {
         let (head, mut body) = response.into_parts();
         let framing = body_length(head.status, &head.headers).ok_or(ExchangeError::InvalidResponse)?;
@@ -405,6 +463,7 @@
             length.unwrap_or(MAX_BUFFERED_BYTES as u64).min(MAX_BUFFERED_BYTES as u64) as usize;
         let reservation = self.bodies.try_reserve(max_buffered).ok_or(ExchangeError::InvalidResponse)?;
         let is_long = length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64);
+        let can_forward_part = head.status == StatusCode::OK && (is_long || length.is_none());
         let (mut chunks, mut buffered_bytes) = (VecDeque::new(), 0);
         let (mut is_complete, mut start) = (false, None);
         while buffered_bytes <= MAX_BUFFERED_BYTES && !(is_long && buffered_bytes > 0) {
@@ -413,7 +472,13 @@
             if length.is_none() && buffered_bytes > MIN_STREAMING_BYTES && start.elapsed() > STREAMING_DELAY {
                 break;
             }
-            match body.frame().await {
+            arrival.is_long.set(can_forward_part && (is_long || buffered_bytes > MIN_STREAMING_BYTES));
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = arrival.must_forward(can_forward_part, start + MAX_HOLD_TIME) => break,
+            };
+            match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         buffered_bytes += data.len();
--- a/crates/decision/src/api/events.rs
+++ b/crates/decision/src/api/events.rs
@@ -17,6 +17,23 @@
         /// The attempt whose response has begun.
         attempt: AttemptNumber,
     },
+    /// A part of a response has arrived, and the rest is awaited: the server is responsive.
+    ResponseBegun {
+        /// The request.
+        request: RequestId,
+        /// The attempt whose response has begun.
+        attempt: AttemptNumber,
+    },
+    /// A response has begun, and no more of it has arrived for a while. It may still be completed. Another attempt may
+    /// begin beside this one, which is not to be cancelled for that.
+    ResponseStalled {
+        /// The request.
+        request: RequestId,
+        /// The attempt whose response has stalled.
+        attempt: AttemptNumber,
+        /// Whether part of the request body has been discarded, so that the request cannot be sent again.
+        is_body_consumed: bool,
+    },
     /// The last part of a request has arrived. The client's timeout runs from now on.
     RequestComplete {
         /// The request.
--- a/crates/decision/src/policy/mod.rs
+++ b/crates/decision/src/policy/mod.rs
@@ -114,6 +114,14 @@
         match event {
             Event::Request(request) => self.admit(now, request, actions),
             Event::FirstByte { request, attempt } => self.requests.bind_to_stream(request, attempt),
+            Event::ResponseBegun { request, attempt } => {
+                self.response_begun(now, AttemptKey { request, attempt });
+            }
+            Event::ResponseStalled { request, attempt, is_body_consumed } => {
+                self.requests.record_body_consumed(request, is_body_consumed);
+                self.response_begun(now, AttemptKey { request, attempt });
+                self.hedge(now, request, actions);
+            }
             Event::RequestComplete { request, time_left } => self.request_complete(now, request, time_left),
             Event::AttemptEnded {
                 request,
--- a/crates/decision/src/policy/outcomes.rs
+++ b/crates/decision/src/policy/outcomes.rs
@@ -35,6 +35,14 @@
 }
 
 impl Balancer {
+    /// Records that a server has begun its response to an attempt, so that the attempt does not count as
+    /// overdue.
+    pub(super) fn response_begun(&mut self, now: Time, key: AttemptKey) {
+        if let Some(attempt) = self.requests.in_flight.get(&key) {
+            self.endpoints[attempt.server].last_response_at = now;
+        }
+    }
+
     /// Handles the end of an attempt: updates statistics, and retries or finishes its request unless the
     /// request already has its final response.
     pub(super) fn attempt_ended(
--- a/crates/decision/src/policy/retry.rs
+++ b/crates/decision/src/policy/retry.rs
@@ -60,6 +60,20 @@
 }
 
 impl Balancer {
+    /// Sends a request to another server while its attempt is still in flight, if the rules, the deadline
+    /// and the retry budget allow it. The request is never queued or finished for this: its attempt may still
+    /// succeed.
+    pub(super) fn hedge(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(pending) = self.requests.pending.get(&id) else { return };
+        let is_allowed = self.retry_rules(pending, now).targets != AllowedTargets::Nowhere;
+        let is_useful = !pending.request.is_streaming_in && !self.cannot_meet_deadline(now, pending);
+        if is_allowed && is_useful && self.retry_budget.has_tokens(RETRY_COST_AFTER_FAULT) {
+            let has_been_sent = self.dispatch(now, id, actions);
+            let cost = if has_been_sent { RETRY_COST_AFTER_FAULT } else { 0.0 };
+            self.retry_budget.withdraw(cost);
+        }
+    }
+
     /// Retries a request after a failed attempt if this is allowed, can meet the deadline and is within the
     /// retry budget, and finishes it otherwise. A retry after a rejection has a cost too, or the request
     /// would be sent to one full server after another.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -30,5 +30,6 @@
 pub use quota::{Quota, QuotaShare, Reservation};
 pub use servers::{MissingCapacity, ServerNames, MAX_SERVERS};
 pub use upstream::{
-    AttemptResult, BodyProgress, EndpointAddress, Gate, Incarnation, RequestPayload, StreamingBody, Upstream,
+    AttemptResult, BodyProgress, EndpointAddress, Gate, Incarnation, RequestPayload, ResponseProgress,
+    ResponseWatch, StreamingBody, Upstream,
 };
--- a/crates/engine/src/pool/attempts.rs
+++ b/crates/engine/src/pool/attempts.rs
@@ -6,7 +6,10 @@
 use super::Pool;
 use crate::clock::span;
 use crate::timing::sleep_until_caught_up;
-use crate::upstream::{AttemptResult, BodyProgress, EndpointAddress, Gate, RequestPayload, Upstream};
+use crate::upstream::{
+    AttemptResult, BodyProgress, EndpointAddress, Gate, RequestPayload, ResponseProgress, ResponseWatch,
+    StreamingBody, Upstream,
+};
 use heronhoist_decision::{AttemptNumber, Event, Outcome, RequestId, ServerId, Time};
 use std::cell::Cell;
 use std::future::{poll_fn, Future};
@@ -15,7 +18,7 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
@@ -66,7 +69,7 @@
         spawn_local(async move {
             let result = match endpoint {
                 Some(endpoint) => {
-                    let result = pool.run_attempt(request_id, endpoint, &request, deadlines, cancelled).await;
+                    let result = pool.run_attempt(attempt, endpoint, &request, deadlines, cancelled).await;
                     pool.0.state.borrow_mut().servers.end_use(server, result.outcome);
                     result
                 }
@@ -90,30 +93,55 @@
 
     async fn run_attempt(
         &self,
-        request_id: RequestId,
+        attempt: Attempt,
         endpoint: EndpointAddress<U::Address>,
         request: &U::Request,
         deadlines: AttemptDeadlines,
         cancelled: oneshot::Receiver<()>,
     ) -> AttemptResult<U::Response> {
         let (is_sent, server) = (Cell::new(false), endpoint.server);
-        let may_send = || self.may_send(request_id, server, deadlines.begin_by);
-        let gate = Gate::new(&is_sent, &may_send, deadlines.timeout_at);
+        let may_send = || self.may_send(attempt.request, server, deadlines.begin_by);
+        let report = |progress| self.report_progress(attempt, progress);
+        let time_up = Notify::new();
+        let watch = ResponseWatch { report: &report, time_up: &time_up };
+        let gate = Gate::new(&is_sent, &may_send, deadlines.timeout_at).with_watch(watch);
         // Pinned here so that it is dropped only after `is_sent` has been read.
-        let attempt = pin!(self.0.upstream.attempt(endpoint, request, gate));
-        let attempt = self.catch_panic(&is_sent, attempt);
+        let result = pin!(self.0.upstream.attempt(endpoint, request, gate));
+        let mut result = pin!(self.catch_panic(&is_sent, result));
         tokio::select! {
             biased;
-            result = attempt => result,
-            () = wait_for_timeout(request, deadlines) => {
+            result = result.as_mut() => return result,
+            () = wait_for_timeout(request, deadlines) => time_up.notify_one(),
+            Ok(()) = cancelled => return Outcome::Cancelled.into(),
+        }
+        // A long response that has begun is forwarded from here on.
+        tokio::select! {
+            biased;
+            result = result => result,
+            () = std::future::ready(()) => {
                 // If no byte was sent, the time was spent waiting for a connection.
                 let outcome = if is_sent.get() { Outcome::TimedOut } else { Outcome::NotSent };
                 outcome.into()
             }
-            Ok(()) = cancelled => Outcome::Cancelled.into(),
         }
     }
 
+    /// Tells the decision module how far the response to an attempt has arrived.
+    fn report_progress(&self, attempt: Attempt, progress: ResponseProgress) {
+        let (request, attempt) = (attempt.request, attempt.number);
+        self.handle_event(match progress {
+            ResponseProgress::Begun => Event::ResponseBegun { request, attempt },
+            ResponseProgress::Stalled => {
+                let is_body_consumed = {
+                    let state = self.0.state.borrow();
+                    let body = state.requests.get(&request).and_then(|open| open.request.streaming_body());
+                    body.is_some_and(StreamingBody::is_consumed)
+                };
+                Event::ResponseStalled { request, attempt, is_body_consumed }
+            }
+        });
+    }
+
     /// Returns whether the first byte of an attempt may be written now. Connecting may take long: by then the client
     /// may have disconnected or received its response, and the deduplication window for a retry may have ended.
     fn may_send(&self, request: RequestId, server: ServerId, begin_by: Time) -> bool {
@@ -154,9 +182,9 @@
                 }
             }
             let body = open.request.streaming_body();
-            let is_body_consumed = body.is_some_and(super::super::upstream::StreamingBody::is_consumed);
+            let is_body_consumed = body.is_some_and(StreamingBody::is_consumed);
             // A server can't respond before it has the complete request.
-            let measured_from = match body.map(super::super::upstream::StreamingBody::progress) {
+            let measured_from = match body.map(StreamingBody::progress) {
                 Some(BodyProgress::Complete(at)) => at.max(attempt.started_at),
                 _ => attempt.started_at,
             };
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -5,6 +5,7 @@
 use std::fmt::Debug;
 use std::future::Future;
 use std::pin::Pin;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Counts the restarts, address changes and dialect changes of one server. Resources of an earlier incarnation, such
@@ -89,11 +90,29 @@
     }
 }
 
+/// What an attempt reports of a response that is not complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseProgress {
+    /// A part of it has arrived, and the rest is awaited.
+    Begun,
+    /// No more of it has arrived for a while.
+    Stalled,
+}
+
+/// Connects an attempt with the engine while its response arrives.
+pub struct ResponseWatch<'a> {
+    /// Called with the progress of the response.
+    pub report: &'a dyn Fn(ResponseProgress),
+    /// Notified once when the attempt's time is up.
+    pub time_up: &'a Notify,
+}
+
 /// The send gate. An attempt opens it right before it writes its first byte, and reports to it if no byte was
 /// written.
 pub struct Gate<'a> {
     is_sent: &'a Cell<bool>,
     may_send: &'a dyn Fn() -> bool,
+    watch: Option<ResponseWatch<'a>>,
     /// When the attempt times out.
     pub deadline: Instant,
 }
@@ -101,7 +120,30 @@
 impl<'a> Gate<'a> {
     /// Creates a gate that opens if `may_send` returns true. `is_sent` records whether a byte counts as written.
     pub fn new(is_sent: &'a Cell<bool>, may_send: &'a dyn Fn() -> bool, deadline: Instant) -> Self {
-        Gate { is_sent, may_send, deadline }
+        Gate { is_sent, may_send, watch: None, deadline }
+    }
+
+    /// Adds the connection that is used while the response arrives.
+    #[must_use]
+    pub fn with_watch(mut self, watch: ResponseWatch<'a>) -> Self {
+        self.watch = Some(watch);
+        self
+    }
+
+    /// Reports how far a response has arrived that is not complete.
+    pub fn report(&self, progress: ResponseProgress) {
+        if let Some(watch) = &self.watch {
+            (watch.report)(progress);
+        }
+    }
+
+    /// Waits until the attempt's time is up. The attempt is then polled once more: if the part of a response that has
+    /// arrived can be forwarded, it has to end with that.
+    pub async fn time_up(&self) {
+        match &self.watch {
+            Some(watch) => watch.time_up.notified().await,
+            None => std::future::pending().await,
+        }
     }
 
     /// Returns whether the first byte may be written now. If so, it counts as written from now on.
