Join the pieces of a body as they arrive instead of keeping each of them

What operators saw: an agent passed its memory limit while clients wrote slowly or stopped in large requests.

Cause: the buffered beginning of a body was a list of the pieces that hyper delivers, each a handle and a share of a read buffer. A peer that sends each byte in a chunk of its own makes 65,536 of them from a body that is counted as 64 KiB. The same list stood in four places: requests, legacy requests, responses, and (by way of BodyExt::collect) the messages of coordinators.

Change: BodyBuffer joins the pieces; a body of one piece is not copied, as before.

The unit test pieces_of_one_byte_are_joined checks that no piece is kept.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -3,6 +3,7 @@
 mod messages;
 mod stalls;
 
+use crate::body_buffer::BodyBuffer;
 use crate::connections::{ConnectionUsage, Connections, EndpointAddress, PooledConnection};
 use crate::dialect::{NEW, OLD};
 use crate::download::{BodyLength, Download, Origin};
@@ -11,7 +12,7 @@
 use crate::metrics::ClassCounters;
 use crate::stall_timeout::StallTimeout;
 use crate::upload::{RequestBody, UploadState, MAX_BUFFERED_BYTES};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use heronhoist_decision::{DialectId, Outcome, ServerId};
 use heronhoist_engine::timing::{catch_up, timeout_at};
 use heronhoist_engine::{
@@ -26,7 +27,7 @@
 use messages::{body_length, build_http_request};
 use stalls::{watch_response, write_stalled};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -464,15 +465,15 @@
         let reservation = self.bodies.try_reserve(max_buffered).ok_or(ExchangeError::InvalidResponse)?;
         let is_long = length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64);
         let can_forward_part = head.status == StatusCode::OK && (is_long || length.is_none());
-        let (mut chunks, mut buffered_bytes) = (VecDeque::new(), 0);
+        let mut buffered = BodyBuffer::default();
         let (mut is_complete, mut start) = (false, None);
-        while buffered_bytes <= MAX_BUFFERED_BYTES && !(is_long && buffered_bytes > 0) {
+        while buffered.len() <= MAX_BUFFERED_BYTES && (buffered.is_empty() || !is_long) {
             // A body that keeps arriving slowly may be long too; one that has stalled is not forwarded.
             let start = *start.get_or_insert_with(Instant::now);
-            if length.is_none() && buffered_bytes > MIN_STREAMING_BYTES && start.elapsed() > STREAMING_DELAY {
+            if length.is_none() && buffered.len() > MIN_STREAMING_BYTES && start.elapsed() > STREAMING_DELAY {
                 break;
             }
-            arrival.is_long.set(can_forward_part && (is_long || buffered_bytes > MIN_STREAMING_BYTES));
+            arrival.is_long.set(can_forward_part && (is_long || buffered.len() > MIN_STREAMING_BYTES));
             let frame = tokio::select! {
                 biased;
                 frame = body.frame() => frame,
@@ -481,8 +482,7 @@
             match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        buffered_bytes += data.len();
-                        chunks.push_back(data);
+                        buffered.push(data);
                     }
                 }
                 Some(Err(_)) => return Err(ExchangeError::InvalidResponse),
@@ -499,11 +499,7 @@
             head.headers.get("x-load-report").and_then(|value| self.parse_report(value.as_bytes()));
         let is_rejection = match dialect {
             OLD if head.status != StatusCode::OK => {
-                is_complete
-                    && is_rejection(
-                        head.status.as_u16(),
-                        &concat_chunks(chunks.iter().cloned(), buffered_bytes),
-                    )
+                is_complete && is_rejection(head.status.as_u16(), buffered.as_slice())
             }
             _ => head.headers.get("x-rejected").is_some_and(|value| value == "1"),
         };
@@ -524,10 +520,15 @@
         }
         let content_type = head.headers.get(CONTENT_TYPE).cloned();
         let body = if is_complete {
-            ResponseBody::Buffered(concat_chunks(chunks, buffered_bytes), reservation)
+            ResponseBody::Buffered(buffered.into_bytes(), reservation)
         } else {
             monitor.lift_read_limit();
-            ResponseBody::Streaming(Box::new(Download::new(chunks, body, framing, reservation)))
+            ResponseBody::Streaming(Box::new(Download::new(
+                buffered.into_bytes(),
+                body,
+                framing,
+                reservation,
+            )))
         };
         Ok(AttemptResult {
             outcome,
@@ -598,18 +599,5 @@
     (0.0..=MAX_REPORT_VALUE).contains(&value).then_some((name.trim(), value))
 }
 
-/// Returns the chunks of a short body, `len` bytes in all, as one.
-pub fn concat_chunks(chunks: impl IntoIterator<Item = Bytes>, len: usize) -> Bytes {
-    let mut chunks = chunks.into_iter();
-    let first = chunks.next().unwrap_or_default();
-    if first.len() == len {
-        return first;
-    }
-    let mut body = BytesMut::with_capacity(len);
-    body.extend_from_slice(&first);
-    chunks.for_each(|chunk| body.extend_from_slice(&chunk));
-    body.freeze()
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/agent/src/body_buffer.rs
@@ -0,0 +1,88 @@
+//! A body, or the beginning of one, that is collected as its pieces arrive.
+//!
+//! Pieces are not kept as they are: a peer that sends each byte in a chunk of its own would make this process hold a handle, and a part
+//! of a read buffer, for each of them.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+
+/// The capacity for the first bytes that are copied.
+const INITIAL_CAPACITY: usize = 1024;
+
+/// The pieces of a body that have arrived, joined.
+#[derive(Default)]
+pub struct BodyBuffer {
+    /// The only piece so far. Most bodies consist of one, which is then not copied.
+    only: Bytes,
+    /// All pieces, once there are several.
+    joined: Vec<u8>,
+}
+
+impl BodyBuffer {
+    /// Adds the next piece.
+    pub fn push(&mut self, piece: Bytes) {
+        if self.is_empty() {
+            self.only = piece;
+            return;
+        }
+        let only = std::mem::take(&mut self.only);
+        self.append(&only);
+        self.append(&piece);
+    }
+
+    fn append(&mut self, bytes: &[u8]) {
+        let needed = self.joined.len() + bytes.len();
+        if needed > self.joined.capacity() {
+            let capacity = needed.max(self.joined.capacity().saturating_mul(2)).max(INITIAL_CAPACITY);
+            self.joined.reserve_exact(capacity - self.joined.len());
+        }
+        self.joined.extend_from_slice(bytes);
+    }
+
+    /// The number of bytes that have arrived.
+    pub fn len(&self) -> usize {
+        self.only.len() + self.joined.len()
+    }
+
+    /// Whether no byte has arrived.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The bytes that have arrived.
+    pub fn as_slice(&self) -> &[u8] {
+        if self.joined.is_empty() {
+            &self.only
+        } else {
+            &self.joined
+        }
+    }
+
+    /// Returns the bytes that have arrived, without unused capacity.
+    pub fn into_bytes(mut self) -> Bytes {
+        if self.joined.is_empty() {
+            return self.only;
+        }
+        self.joined.shrink_to_fit();
+        self.joined.into()
+    }
+}
+
+/// Reads a body to its end.
+///
+/// # Errors
+///
+/// The body does.
+pub async fn collect<B: Body<Data = Bytes> + Unpin>(mut body: B) -> Result<Bytes, B::Error> {
+    let mut buffer = BodyBuffer::default();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            buffer.push(data);
+        }
+    }
+    Ok(buffer.into_bytes())
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/agent/src/download.rs
+++ b/crates/agent/src/download.rs
@@ -8,7 +8,6 @@
 use heronhoist_engine::timing::DeadlineTimer;
 use heronhoist_engine::Reservation;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use std::collections::VecDeque;
 use std::io::{Error, ErrorKind};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -51,7 +50,7 @@
 
 /// The body of a response that is streamed.
 pub struct Download {
-    beginning: VecDeque<Bytes>,
+    beginning: Bytes,
     rest: Incoming,
     length: BodyLength,
     forwarded: u64,
@@ -63,12 +62,7 @@
 
 impl Download {
     /// A response whose beginning has been read.
-    pub fn new(
-        beginning: VecDeque<Bytes>,
-        rest: Incoming,
-        length: BodyLength,
-        reservation: Reservation,
-    ) -> Self {
+    pub fn new(beginning: Bytes, rest: Incoming, length: BodyLength, reservation: Reservation) -> Self {
         let timer = DeadlineTimer::new(Instant::now());
         let (forwarded, origin, is_waiting) = (0, None, false);
         Download { beginning, rest, length, forwarded, origin, is_waiting, timer, _reservation: reservation }
@@ -96,8 +90,8 @@
     }
 
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
-        if let Some(data) = self.beginning.pop_front() {
-            return Poll::Ready(Some(Ok(data)));
+        if !self.beginning.is_empty() {
+            return Poll::Ready(Some(Ok(std::mem::take(&mut self.beginning))));
         }
         loop {
             let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(cx) else {
--- a/crates/agent/src/fleet/coordinator/listener.rs
+++ b/crates/agent/src/fleet/coordinator/listener.rs
@@ -3,6 +3,7 @@
 use super::peer_links::Frame;
 use super::Coordinator;
 use crate::accept::accept;
+use crate::body_buffer::collect;
 use crate::fleet::transport::{ClientRequest, RAFT_PATH, REQUEST_PATH};
 use crate::gauge::Gauge;
 use crate::metered_stream::MeteredStream;
@@ -11,7 +12,7 @@
 use heronhoist_coordination::service::Service;
 use heronhoist_coordination::wire::check_envelope;
 use heronhoist_coordination::Time;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{Full, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -74,11 +75,10 @@
             RAFT_PATH => MAX_BATCH_BYTES,
             _ => return text_response(StatusCode::NOT_FOUND, "there are /v1/ask and /v1/raft\n"),
         };
-        let Ok(body) = Limited::new(request.into_body(), max_bytes).collect().await else {
+        let Ok(body) = collect(Limited::new(request.into_body(), max_bytes)).await else {
             let text = format!("over the bound of a message: {max_bytes} bytes\n");
             return text_response(StatusCode::PAYLOAD_TOO_LARGE, text);
         };
-        let body = body.to_bytes();
         match is_raft {
             true => self.receive_batch(&body),
             false => self.respond_to_client(&body).await,
--- a/crates/agent/src/fleet/transport.rs
+++ b/crates/agent/src/fleet/transport.rs
@@ -1,13 +1,14 @@
 //! HTTP calls between processes. A link makes one call at a time on a connection that it keeps open. Each call has a timeout, so
 //! that calls don't queue up behind a slow response.
 
+use crate::body_buffer::collect;
 use crate::metered_stream::MeteredStream;
 use bytes::Bytes;
 use heronhoist_coordination::retry_schedule::RetrySchedule;
 use heronhoist_coordination::wire::{Envelope, Refusal, Request, Response};
 use heronhoist_coordination::Time;
 use heronhoist_engine::timing::timeout;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::StatusCode;
@@ -122,8 +123,8 @@
             .body(Full::new(Bytes::from(body)))?;
         let response = self.sender.send_request(request).await?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
-        Ok(PostResponse { status, body: body.map_err(LinkError::Body)?.to_bytes() })
+        let body = collect(Limited::new(response.into_body(), MAX_RESPONSE_BYTES)).await;
+        Ok(PostResponse { status, body: body.map_err(LinkError::Body)? })
     }
 }
 
--- a/crates/agent/src/intake.rs
+++ b/crates/agent/src/intake.rs
@@ -1,6 +1,7 @@
 //! Reads a client's request and validates it before it is passed to a pool.
 
-use crate::backend::{concat_chunks, UpstreamRequest};
+use crate::backend::UpstreamRequest;
+use crate::body_buffer::BodyBuffer;
 use crate::client_connections::ClientConnection;
 use crate::metrics::ClassCounters;
 use crate::upload::{BodyReader, RequestBody, Upload, UploadError, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
@@ -148,15 +149,14 @@
             return Err((StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now"));
         };
         let mut reader = BodyReader::new(body);
-        let (mut chunks, mut buffered) = (Vec::new(), 0);
+        let mut buffered = BodyBuffer::default();
         let mut ended = stated == Some(0);
-        while !ended && buffered <= MAX_BUFFERED_BYTES {
+        while !ended && buffered.len() <= MAX_BUFFERED_BYTES {
             match reader.next().await {
                 Some(Ok(data)) => {
-                    buffered += data.len();
-                    chunks.push(data);
+                    buffered.push(data);
                     // A long body is forwarded at once.
-                    ended = stated == Some(buffered as u64);
+                    ended = stated == Some(buffered.len() as u64);
                     if stated.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64) {
                         break;
                     }
@@ -167,9 +167,14 @@
         }
         check_end(connection)?;
         let body = if ended {
-            RequestBody::Buffered(concat_chunks(chunks, buffered))
+            RequestBody::Buffered(buffered.into_bytes())
         } else {
-            RequestBody::Streaming(Upload::new(chunks, reader, stated, connection.monitor().clone()))
+            RequestBody::Streaming(Upload::new(
+                buffered.into_bytes(),
+                reader,
+                stated,
+                connection.monitor().clone(),
+            ))
         };
         let client_timeout = client_timeout.min(class.deadline());
         // The client's timeout runs from the last byte of its request.
--- a/crates/agent/src/legacy.rs
+++ b/crates/agent/src/legacy.rs
@@ -1,6 +1,7 @@
 //! Legacy clients: translates their requests to the servers' protocol, and errors to the clients' form.
 
-use crate::backend::{concat_chunks, LegacyRequest, UpstreamRequest};
+use crate::backend::{LegacyRequest, UpstreamRequest};
+use crate::body_buffer::BodyBuffer;
 use crate::client_connections::ClientConnection;
 use crate::dialect::{self, SOAP_ACTION};
 use crate::intake::{body_error, check_end, discard_body, Catalogue, Class, CALL_ID, IDEMPOTENCY_KEY};
@@ -147,20 +148,19 @@
         discard_body(body);
         return Err(no_memory());
     };
-    let (mut reader, mut chunks, mut buffered) = (BodyReader::new(body), Vec::new(), 0);
+    let (mut reader, mut buffered) = (BodyReader::new(body), BodyBuffer::default());
     while let Some(chunk) = reader.next().await {
         let chunk = chunk.map_err(|error| bad_request(body_error(error).1))?;
-        buffered += chunk.len();
-        if buffered > MAX_BUFFERED_BYTES {
+        buffered.push(chunk);
+        if buffered.len() > MAX_BUFFERED_BYTES {
             tokio::task::spawn_local(reader.discard());
             return Err(too_large());
         }
-        chunks.push(chunk);
     }
     check_end(connection).map_err(|(_, reason)| bad_request(reason))?;
-    let bytes = concat_chunks(chunks, buffered);
+    let bytes = buffered.into_bytes();
     let is_query = head.method == Method::GET && mapping.old.request_form == Form::Form;
-    if is_query && buffered > 0 {
+    if is_query && !bytes.is_empty() {
         return Err(bad_request("a query has no body"));
     }
     let encoded = if is_query { head.uri.query().unwrap_or_default().as_bytes() } else { &bytes };
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod backend;
 mod body_arrival;
+mod body_buffer;
 mod cli;
 mod client_connections;
 mod config;
--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -119,7 +119,7 @@
 /// A streamed body: one that is too long to be buffered.
 pub struct Upload {
     /// Its beginning, until an attempt takes more than that.
-    buffered: RefCell<Vec<Bytes>>,
+    buffered: RefCell<Option<Bytes>>,
     rest: RefCell<Option<BodyReader>>,
     /// Its total length, if the head states it.
     length: Option<u64>,
@@ -135,15 +135,10 @@
 
 impl Upload {
     /// A body whose beginning has been read from this connection.
-    pub fn new(
-        buffered: Vec<Bytes>,
-        rest: BodyReader,
-        length: Option<u64>,
-        client: StreamMonitor,
-    ) -> Rc<Self> {
+    pub fn new(buffered: Bytes, rest: BodyReader, length: Option<u64>, client: StreamMonitor) -> Rc<Self> {
         let state = watch::Sender::new(UploadState::Incomplete);
         let arrival = RefCell::new(BodyArrival::new(Instant::now(), max_send_buffer_bytes()));
-        let (buffered, rest) = (RefCell::new(buffered), RefCell::new(Some(rest)));
+        let (buffered, rest) = (RefCell::new(Some(buffered)), RefCell::new(Some(rest)));
         let (is_consumed, awaits_client) = (Cell::new(false), Cell::new(false));
         Rc::new(Upload { buffered, rest, length, is_consumed, arrival, client, awaits_client, state })
     }
@@ -244,7 +239,7 @@
         match &next {
             Some(Ok(_)) => {
                 self.is_consumed.set(true);
-                self.buffered.borrow_mut().clear();
+                self.buffered.borrow_mut().take();
                 self.record_read(rest.bytes_read);
                 if self.length == Some(rest.bytes_read) {
                     self.state.send_replace(self.complete_state());
@@ -313,7 +308,7 @@
             RequestBody::Streaming(upload) => {
                 // Between two attempts nothing is read, so what arrives then is not seen to arrive.
                 upload.awaits_client.set(false);
-                AttemptBody::Streaming { upload: Rc::clone(upload), next: 0, written: 0 }
+                AttemptBody::Streaming { upload: Rc::clone(upload), has_begun: false, written: 0 }
             }
         }
     }
@@ -327,8 +322,8 @@
     Streaming {
         /// The body.
         upload: Rc<Upload>,
-        /// The index of the next buffered chunk.
-        next: usize,
+        /// The buffered beginning has been passed to hyper.
+        has_begun: bool,
         /// The number of bytes passed to hyper so far.
         written: u64,
     },
@@ -344,11 +339,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
         match self.get_mut() {
             AttemptBody::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            AttemptBody::Streaming { upload, next, written } => {
-                let buffered = upload.buffered.borrow().get(*next).cloned();
+            AttemptBody::Streaming { upload, has_begun, written } => {
+                let buffered = upload.buffered.borrow().clone().filter(|_| !*has_begun);
                 let data = match buffered {
                     Some(data) => {
-                        *next += 1;
+                        *has_begun = true;
                         Some(Ok(data))
                     }
                     None => ready!(upload.poll_rest(cx)),
