Remember the ids of requests that may have run, so that none runs twice

What callers saw: a client left and sent its request again under the same id, and it ran twice.

Cause: remove_if_finished forgot an id together with its request, as soon as its last attempt had ended.

Change: a request that must not run twice claims its id before its first attempt. Under a claimed id a request is answered with 409, as under one in use. The number of claims is limited by the memory in the settings.

--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -43,6 +43,11 @@
 /// The maximum memory that one client connection holds, in bytes: hyper's two buffers, and the tasks and structures around them.
 const MAX_CLIENT_BYTES: f64 = 28.0 * 1024.0;
 
+/// The fraction of the memory that the ids of requests that may have run can hold.
+const CLAIM_MEMORY_FRACTION: f64 = 0.03;
+/// The maximum memory for one such id, in bytes: the id itself, and its entries in two collections.
+const MAX_CLAIM_BYTES: f64 = 256.0;
+
 /// The platform's configuration file.
 #[derive(Deserialize)]
 struct File {
@@ -70,14 +75,23 @@
 }
 
 impl Limits {
+    /// The memory that all processes share, in bytes.
+    fn memory_bytes(&self) -> f64 {
+        self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).max(MIN_MEMORY_MB) * 1024.0 * 1024.0
+    }
+
+    /// Returns how many ids of requests that may have run are remembered. Each process of an upgrade remembers them all.
+    pub fn max_claims(&self) -> usize {
+        (self.memory_bytes() * CLAIM_MEMORY_FRACTION / MAX_CLAIM_BYTES) as usize
+    }
+
     /// Returns the limits of one process while `processes` of them share these.
     pub fn for_processes(&self, processes: usize) -> ProcessLimits {
         // The operating system may allow fewer descriptors than the file states.
         let os_limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
         let os_limit = os_limit.map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX));
         let sockets = self.sockets.unwrap_or(DEFAULT_SOCKETS).min(os_limit) / processes;
-        let memory = self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).max(MIN_MEMORY_MB) * 1024.0 * 1024.0;
-        let memory = memory / processes as f64;
+        let memory = self.memory_bytes() / processes as f64;
         let request_descriptors = sockets.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_REQUEST_DESCRIPTORS);
         let clients = (memory * CLIENT_MEMORY_FRACTION / MAX_CLIENT_BYTES) as usize;
         // Clients may hold half of the descriptors for requests; idle connections must be closed well before that limit, so that
--- a/crates/agent/src/discovery/tests/scripted.rs
+++ b/crates/agent/src/discovery/tests/scripted.rs
@@ -5,8 +5,8 @@
 use super::super::Discovery;
 use heronhoist_decision::{Discovery as DiscoveryMode, Outcome, ServerId, Settings};
 use heronhoist_engine::{
-    AttemptResult, EndpointAddress, EndpointInfo, EndpointList, EndpointSource, Gate, Incarnation, Pool,
-    PoolOptions, Quota, RequestPayload, ServerNames, Upstream,
+    AttemptResult, EndpointAddress, EndpointInfo, EndpointList, EndpointSource, Gate, Incarnation,
+    LocalClaims, Pool, PoolOptions, Quota, RequestPayload, ServerNames, Upstream,
 };
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -247,6 +247,7 @@
         epoch: None,
         upstream: UnusedUpstream,
         request_quota: Quota::single_share(9),
+        claims: LocalClaims::new(9),
     });
     pool.expect("valid settings")
 }
--- a/crates/agent/src/intake.rs
+++ b/crates/agent/src/intake.rs
@@ -204,10 +204,12 @@
             client: Some(connection.monitor().clone()),
             _reservation: Some(reservation),
         };
+        let is_idempotent = class.settings.effect == Effect::Idempotent;
         let (correlation_id, class, dialects) = (Some(call_id.as_bytes().into()), class.id, Dialects::ALL);
         Ok(NewRequest {
             request,
             correlation_id,
+            is_idempotent,
             class,
             tenant,
             key,
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -43,6 +43,7 @@
 use fleet::member::{Drains, Member};
 use handover::{ProcessPeers, Takeover};
 use heronhoist_engine::timing::{sleep_until_caught_up, timeout};
+use heronhoist_engine::LocalClaims;
 use metrics::Metrics;
 use ops::StatusSource;
 use plan::KnownEndpoints;
@@ -120,7 +121,8 @@
     let process_limits = config.limits().for_processes(2);
     // Each client connection carries one request at a time, and this process may hold that many once it runs alone.
     let requests = config.limits().for_processes(1).clients.max_open;
-    let pools = Pools::new(process_limits.upstream, requests, config.seed);
+    let claims = LocalClaims::new(config.limits().max_claims());
+    let pools = Pools::new(process_limits.upstream, requests, claims, config.seed);
     // The list in the file may be out of date. If a predecessor has served until now, its list is newer, so this process
     // fetches the complete list before it serves.
     if let Some((_, drained)) = &drained {
--- a/crates/agent/src/pools.rs
+++ b/crates/agent/src/pools.rs
@@ -8,7 +8,7 @@
 use heronhoist_decision::{ClassId, Discovery as DiscoveryMode, Settings, Span};
 use heronhoist_engine::{
     DrainableSource, EndpointInfo, EndpointList, EndpointSource, Pool, PoolOptions, PoolStats, Quota,
-    QuotaShare, Rejection, StaticEndpoints,
+    QuotaShare, Rejection, RequestClaims, StaticEndpoints,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -102,6 +102,7 @@
     connections: Rc<Quota>,
     bodies: Rc<Quota>,
     requests: Rc<Quota>,
+    claims: Rc<dyn RequestClaims>,
     seed: Cell<u64>,
     /// The names of the servers that the fleet drains; `None` if the agent is not a member of a fleet.
     drained: RefCell<Option<watch::Receiver<BTreeSet<String>>>>,
@@ -120,12 +121,17 @@
 
 impl Pools {
     /// Creates an empty set of pools, which together hold at most `requests` requests at a time.
-    pub fn new(limits: UpstreamLimits, requests: usize, seed: u64) -> Rc<Self> {
+    pub fn new(
+        limits: UpstreamLimits,
+        requests: usize,
+        claims: Rc<dyn RequestClaims>,
+        seed: u64,
+    ) -> Rc<Self> {
         let (pools, registry) = Default::default();
         let (connections, bodies) = (Quota::new(limits.connections), Quota::new(limits.body_bytes));
         let (requests, seed) = (Quota::new(requests), Cell::new(seed));
         let (drained, closing) = Default::default();
-        Rc::new(Pools { pools, registry, connections, bodies, requests, seed, drained, closing })
+        Rc::new(Pools { pools, registry, connections, bodies, requests, claims, seed, drained, closing })
     }
 
     /// Makes pools that are opened from now on send no new requests to the servers in `drained`.
@@ -253,6 +259,7 @@
             epoch: None,
             upstream,
             request_quota: self.requests.share(),
+            claims: Rc::clone(&self.claims),
         };
         let engine_pool = Pool::new(options).expect("the settings of a plan are valid");
         // The pool has numbered its classes by position. The ids of the plan, which are unique across all pools, replace these
--- a/crates/agent/src/server/tests/accepting.rs
+++ b/crates/agent/src/server/tests/accepting.rs
@@ -2,6 +2,7 @@
 
 use super::super::*;
 use crate::pools::UpstreamLimits;
+use heronhoist_engine::LocalClaims;
 use rustix::io::Errno;
 use std::io;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -28,7 +29,7 @@
 }
 
 fn server() -> Rc<Server> {
-    let pools = Pools::new(UpstreamLimits { connections: 9, body_bytes: 1 << 20 }, 9, 7);
+    let pools = Pools::new(UpstreamLimits { connections: 9, body_bytes: 1 << 20 }, 9, LocalClaims::new(9), 7);
     let (catalogue, mappings) = (Catalogue { classes: Vec::new(), tenants: Vec::new() }, Rc::default());
     let active_plan = ActivePlan { catalogue, routes: Table::default(), pools: Vec::new(), mappings };
     let limits = ClientLimits { max_open: 100, idle_close_threshold: 100, keep_alive_threshold: 100 };
--- a/crates/agent/src/server/tests/panics.rs
+++ b/crates/agent/src/server/tests/panics.rs
@@ -3,6 +3,7 @@
 use super::super::*;
 use crate::pools::UpstreamLimits;
 use crate::reload::{apply_plan, ClassRegistry};
+use heronhoist_engine::LocalClaims;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -14,7 +15,7 @@
     let unused = SocketAddr::from(([127, 0, 0, 1], 1));
     let plan = crate::config::platform_plan(&file, unused);
     let metrics = Rc::new(Metrics::default());
-    let pools = Pools::new(UpstreamLimits { connections: 4, body_bytes: 1 << 20 }, 4, 7);
+    let pools = Pools::new(UpstreamLimits { connections: 4, body_bytes: 1 << 20 }, 4, LocalClaims::new(9), 7);
     let active_plan = apply_plan(&plan, &mut ClassRegistry::new(Rc::clone(&metrics)), &pools, None);
     let limits = ClientLimits { max_open: 4, idle_close_threshold: 4, keep_alive_threshold: 4 };
     let front = Front { name: "main".into(), listen: unused, protocol: Protocol::Http };
--- a/crates/agent/tests/loopback/clients.rs
+++ b/crates/agent/tests/loopback/clients.rs
@@ -52,7 +52,8 @@
     assert_rejected("60 MB", &format!("{head}Content-Length: 62914560\r\n\r\n"), 413);
 }
 
-/// Servers could not tell two requests with one id apart. The id is free again when the first request has ended.
+/// Servers could not tell two requests with one id apart. When the first request has ended, its id is free again if it may run more
+/// than once.
 #[test]
 fn an_id_that_is_in_use_is_rejected() {
     let (server, release) = RecordServer::gated();
@@ -65,7 +66,14 @@
     release.send(()).unwrap();
     assert_eq!(first.read().map(|m| m.status()), Some(200));
     release.send(()).unwrap();
-    assert_eq!(Client::connect(&agent).exchange(&text).status(), 200);
+    assert_eq!(Client::connect(&agent).exchange(&text).status(), 409);
+    assert_eq!(server.requests.all().len(), 1, "it has run");
+    let repeatable = text.replace("POST /once", "GET /read").replace("once", "read");
+    let repeatable = repeatable.replace("Content-Length: 4\r\n\r\nbody", "\r\n");
+    for runs in 2..4 {
+        assert_eq!(Client::connect(&agent).exchange(&repeatable).status(), 200);
+        assert_eq!(server.requests.all().len(), runs);
+    }
 }
 
 /// An attempt outlives its request when the client closes. Until the attempt has ended, the id stays in use.
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,6 +14,7 @@
 mod endpoint_source;
 mod pool;
 mod quota;
+mod request_claims;
 mod servers;
 mod start_times;
 pub mod timing;
@@ -28,6 +29,7 @@
     FinalResponse, NewRequest, PendingResponse, Pool, PoolOptions, PoolStats, Rejection, RESPONSE_RESERVE,
 };
 pub use quota::{Quota, QuotaShare, Reservation};
+pub use request_claims::{CorrelationId, LocalClaims, RecentClaims, RequestClaims};
 pub use servers::{MissingCapacity, ServerNames, MAX_SERVERS};
 pub use upstream::{
     AttemptResult, BodyProgress, EndpointAddress, Gate, Incarnation, RequestPayload, ResponseProgress,
--- a/crates/engine/src/pool/attempts.rs
+++ b/crates/engine/src/pool/attempts.rs
@@ -59,6 +59,11 @@
         let timeout_at = self.0.clock.instant(timeout_at);
         let latest = open.deadline.map(|deadline| deadline - attempt_reserve(client_timeout));
         let timeout_at = latest.map_or(timeout_at, |latest| timeout_at.min(latest));
+        // A request that has come again under an id that may have run fails without an attempt.
+        let is_claimed = open.claim(&*self.0.claims);
+        if let Some(responder) = open.responder.take_if(|_| !is_claimed) {
+            responder.send(FinalResponse::Failed);
+        }
         // Nothing is sent if the request has its response, or if its attempts or its time are used up.
         let is_allowed = open.is_pending() && number.0 < open.max_attempts && timeout_at > started_at;
         let endpoint = if is_allowed { state.servers.begin_use(server) } else { None };
@@ -176,6 +181,7 @@
             let mut state = self.0.state.borrow_mut();
             let Some(open) = state.requests.get_mut(&attempt.request) else { return };
             open.in_flight.retain(|in_flight| in_flight.number != attempt.number);
+            open.may_have_run |= !result.outcome.proves_not_executed();
             if let Some(response) = result.response {
                 if let Some(responder) = open.responder.take() {
                     responder.send(FinalResponse::Success(response));
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -23,6 +23,7 @@
 use crate::clock::Clock;
 use crate::endpoint_source::{EndpointObserver, EndpointSink, EndpointSource, Subscription};
 use crate::quota::QuotaShare;
+use crate::request_claims::RequestClaims;
 use crate::servers::{ServerNames, Servers};
 use crate::start_times::StartTimes;
 use crate::upstream::Upstream;
@@ -92,6 +93,7 @@
     /// The minimum version of the source's first list.
     initial_version: Option<i64>,
     request_quota: Rc<QuotaShare>,
+    claims: Rc<dyn RequestClaims>,
     /// The dialects that the serving servers speak.
     serving_dialects: Cell<Dialects>,
 }
@@ -138,6 +140,7 @@
             initial_version: continued_list.map(|list| list.version),
             start_times: Rc::new(RefCell::new(start_times)),
             request_quota: options.request_quota,
+            claims: options.claims,
             serving_dialects: Cell::new(Dialects::NONE),
         }));
         pool.start();
--- a/crates/engine/src/pool/options.rs
+++ b/crates/engine/src/pool/options.rs
@@ -2,6 +2,7 @@
 
 use crate::endpoint_source::EndpointList;
 use crate::quota::QuotaShare;
+use crate::request_claims::RequestClaims;
 use crate::servers::ServerNames;
 use crate::upstream::Upstream;
 use heronhoist_decision::{Settings, Span, Time};
@@ -28,6 +29,8 @@
     pub upstream: U,
     /// The quota share for requests that wait for their response in this pool.
     pub request_quota: Rc<QuotaShare>,
+    /// The claims of the ids of requests that may have run.
+    pub claims: Rc<dyn RequestClaims>,
 }
 
 /// The part of the settings that the engine itself uses.
--- a/crates/engine/src/pool/requests.rs
+++ b/crates/engine/src/pool/requests.rs
@@ -5,6 +5,7 @@
 use super::{Pool, PoolState};
 use crate::clock::span;
 use crate::quota::Reservation;
+use crate::request_claims::{CorrelationId, RequestClaims};
 use crate::upstream::Upstream;
 use heronhoist_decision::{
     AttemptNumber, ClassId, Dialects, Event, KeyId, Request, RequestId, Span, TenantId,
@@ -26,7 +27,9 @@
     pub request: R,
     /// Identifies the request to servers that distinguish requests by an id; it must be unique among the open
     /// requests.
-    pub correlation_id: Option<Rc<[u8]>>,
+    pub correlation_id: Option<CorrelationId>,
+    /// Whether the request may run more than once. If not, its correlation id is claimed before it is sent.
+    pub is_idempotent: bool,
     /// The request's class.
     pub class: ClassId,
     /// The tenant that the request belongs to.
@@ -47,12 +50,13 @@
 
 impl<R> NewRequest<R> {
     /// Creates a complete request whose client waits for `client_timeout` from now on. It has no correlation id,
-    /// tenant, key or cost hint, and can be encoded in any dialect.
+    /// tenant, key or cost hint, is idempotent, and can be encoded in any dialect.
     #[must_use]
     pub fn new(request: R, class: ClassId, client_timeout: Duration) -> Self {
         NewRequest {
             request,
             correlation_id: None,
+            is_idempotent: true,
             class,
             tenant: None,
             key: None,
@@ -69,7 +73,10 @@
 pub(super) struct OpenRequest<U: Upstream> {
     pub(super) request: Rc<U::Request>,
     pub(super) class: ClassId,
-    correlation_id: Option<Rc<[u8]>>,
+    correlation_id: Option<CorrelationId>,
+    claim: Claim,
+    /// Whether an attempt that has ended may have been executed.
+    pub(super) may_have_run: bool,
     /// When the client stops waiting; `None` until the complete request has arrived.
     pub(super) deadline: Option<Instant>,
     pub(super) client_timeout: Duration,
@@ -83,7 +90,36 @@
     pub(super) in_flight: Vec<InFlightAttempt>,
 }
 
+/// The claim of a request's correlation id.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Claim {
+    /// The request is idempotent or has no correlation id.
+    NotNeeded,
+    /// It must be made before the first attempt.
+    Needed,
+    /// This request has made it.
+    Held,
+}
+
 impl<U: Upstream> OpenRequest<U> {
+    /// Claims the request's correlation id if it is not idempotent. Returns false if another request holds the claim;
+    /// this one must not be sent then.
+    pub(super) fn claim(&mut self, claims: &dyn RequestClaims) -> bool {
+        let (Claim::Needed, Some(id)) = (self.claim, &self.correlation_id) else { return true };
+        if !claims.claim(id) {
+            return false;
+        }
+        self.claim = Claim::Held;
+        true
+    }
+
+    /// Ends the claim of a finished request that has certainly not run.
+    fn release_claim(&self, claims: &dyn RequestClaims) {
+        if let (Claim::Held, false, Some(id)) = (self.claim, self.may_have_run, &self.correlation_id) {
+            claims.release(id);
+        }
+    }
+
     /// Returns whether the client still waits for the final response.
     pub(super) fn is_pending(&self) -> bool {
         self.responder.is_some()
@@ -141,11 +177,17 @@
             if new.correlation_id.as_ref().is_some_and(|id| state.correlation_ids.contains(id)) {
                 return Err(Rejection::CorrelationIdInUse);
             }
+            let needs_claim = !new.is_idempotent && new.correlation_id.is_some();
+            if needs_claim && new.correlation_id.as_ref().is_some_and(|id| self.0.claims.is_claimed(id)) {
+                return Err(Rejection::CorrelationIdInUse);
+            }
             let reservation = self.0.request_quota.try_reserve(1).ok_or(Rejection::PoolFull(RETRY_AFTER))?;
             state.add_request(OpenRequest {
                 request: Rc::clone(&request),
                 class: new.class,
                 correlation_id: new.correlation_id,
+                claim: if needs_claim { Claim::Needed } else { Claim::NotNeeded },
+                may_have_run: false,
                 deadline: new.deadline,
                 client_timeout: new.client_timeout,
                 responder: Some(Responder { sender, _reservation: reservation }),
@@ -239,8 +281,9 @@
         if !state.requests.get(&id).is_some_and(OpenRequest::is_finished) {
             return;
         }
-        let finished = state.requests.remove(&id);
-        if let Some(correlation_id) = finished.and_then(|open| open.correlation_id) {
+        let Some(finished) = state.requests.remove(&id) else { return };
+        finished.release_claim(&*self.0.claims);
+        if let Some(correlation_id) = finished.correlation_id {
             state.correlation_ids.remove(&correlation_id);
         }
         if state.requests.is_empty() {
--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -4,6 +4,7 @@
 use crate::clock::span;
 use crate::endpoint_source::{EndpointInfo, EndpointList};
 use crate::quota::Quota;
+use crate::request_claims::LocalClaims;
 use crate::upstream::{
     AttemptResult, BodyProgress, EndpointAddress, Gate, Incarnation, RequestPayload, StreamingBody,
 };
@@ -60,6 +61,7 @@
         epoch: None,
         upstream,
         request_quota: Quota::single_share(9),
+        claims: LocalClaims::new(9),
     }
 }
 
--- a/crates/engine/tests/line/main.rs
+++ b/crates/engine/tests/line/main.rs
@@ -68,6 +68,7 @@
         epoch: None,
         upstream: LineUpstream,
         request_quota: quota.share(),
+        claims: LocalClaims::new(9),
     });
     let pool = pool.expect("valid settings");
     let run = spawn_local(pool.clone().run(Box::new(StaticEndpoints::new(receiver))));
--- a/crates/engine/tests/starts.rs
+++ b/crates/engine/tests/starts.rs
@@ -72,6 +72,7 @@
             epoch: Some(EPOCH),
             upstream: UnusedUpstream,
             request_quota: Quota::single_share(9),
+            claims: LocalClaims::new(9),
         };
         let pool = Pool::new(options).expect("valid settings");
         spawn_local(pool.clone().run(Box::new(source)));
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -444,6 +444,7 @@
                 leaked: RefCell::default(),
             },
             request_quota: Quota::single_share(100_000),
+            claims: LocalClaims::new(0),
         };
         let pool = Pool::new(options).expect("a parsed scenario has valid settings");
         let discovery = SimulatedDiscovery { world: Rc::clone(world), agent, seen_change: 0 };
