Share the ids of requests that may have run between the processes of an upgrade

What callers saw: during an upgrade, a request that came again under its id ran in both processes.

Cause: each process knew only its own ids.

Change: the processes share their claims over a second Unix connection in $TMPDIR (same name, ending .claims). A claim is written to the others before the request is sent, and theirs are read before and after that, so of two processes that claim one id at the same time at most one sends it. A new process has the claims from before the upgrade before it serves. A process without that socket (an older version, or none) shares nothing, as before.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -41,9 +41,8 @@
 
 use config::Config;
 use fleet::member::{Drains, Member};
-use handover::{ProcessPeers, Takeover};
+use handover::{ProcessPeers, SharedClaims, Takeover};
 use heronhoist_engine::timing::{sleep_until_caught_up, timeout};
-use heronhoist_engine::LocalClaims;
 use metrics::Metrics;
 use ops::StatusSource;
 use plan::KnownEndpoints;
@@ -109,11 +108,13 @@
     let fronts = config.fronts.clone();
     let socket_paths: Vec<_> =
         fronts.iter().filter_map(|front| handover::socket_path(front.listen)).collect();
+    let claims = SharedClaims::new(config.limits().max_claims());
     let mut takeover = None;
     for path in &socket_paths {
         if takeover.is_none() {
             takeover = handover::take_over(path, &peers).await;
         }
+        claims.join(path).await;
     }
     // The agent is a fleet member only if its file has [fleet].
     let drained = config.fleet.as_ref().map(|_| watch::channel(BTreeSet::new()));
@@ -121,8 +122,7 @@
     let process_limits = config.limits().for_processes(2);
     // Each client connection carries one request at a time, and this process may hold that many once it runs alone.
     let requests = config.limits().for_processes(1).clients.max_open;
-    let claims = LocalClaims::new(config.limits().max_claims());
-    let pools = Pools::new(process_limits.upstream, requests, claims, config.seed);
+    let pools = Pools::new(process_limits.upstream, requests, Rc::clone(&claims) as _, config.seed);
     // The list in the file may be out of date. If a predecessor has served until now, its list is newer, so this process
     // fetches the complete list before it serves.
     if let Some((_, drained)) = &drained {
@@ -190,12 +190,14 @@
         let _ = timeout(ENDPOINT_LIST_TIMEOUT, lists_published).await;
     }
     // From here on a successor can connect to this process.
-    let successor_tasks: Vec<_> = socket_paths
-        .iter()
-        .filter_map(|path| handover::listen_for_successors(path))
-        .map(|socket| handover::serve_successors(socket, listeners.clone(), Rc::clone(&peers)))
-        .map(spawn_local)
-        .collect();
+    let mut successor_tasks = Vec::new();
+    for path in &socket_paths {
+        let Some(socket) = handover::listen_for_successors(path) else { continue };
+        let handover = handover::serve_successors(socket, listeners.clone(), Rc::clone(&peers));
+        successor_tasks.push(spawn_local(handover));
+        let claims_socket = SharedClaims::listen(path);
+        successor_tasks.extend(claims_socket.map(|socket| spawn_local(Rc::clone(&claims).serve(socket))));
+    }
     let mut accepting = Vec::new();
     for (front, listener) in fronts.iter().zip(listeners) {
         let address = listener.local_addr().map_err(|e| e.to_string())?;
--- a/crates/agent/tests/loopback/repeated_ids.rs
+++ b/crates/agent/tests/loopback/repeated_ids.rs
@@ -84,7 +84,7 @@
         let before = request(class, 2000);
         at_old[2].write(&before);
         server.requests.wait_for(reads + 1);
-        let new = Agent::start_in_dir(&folder, &text.replace("127.0.0.1:0", &old.address.to_string()));
+        let new = Agent::start_in_dir(&folder, &text);
         // Connections that have just opened may be accepted by either process, so the new one is found by trying.
         let mut at_new = loop {
             let mut client = Client::connect(&new);
