Begin no attempt for a client whose close may lie behind unread bytes

What callers saw: a client sent much and left, and its requests were sent on afterwards, up to 0.6 s later in the test.

Cause: the close of a connection is seen only behind all bytes before it. A request that waits for a server, or whose attempt is repeated, was sent whatever lay unread behind it.

Change: 50 ms after a request was read, an attempt begins only if less than 16 KiB lie unread on its client's connection: then the socket has room and a close would have arrived. Such a request is rejected, which promises that it has not run. A client that waits with a long body while all servers are busy may get that too; it keeps its connection and may try again.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -4,6 +4,7 @@
 mod stalls;
 
 use crate::body_buffer::BodyBuffer;
+use crate::client_presence::ClientPresence;
 use crate::connections::{ConnectionUsage, Connections, EndpointAddress, PooledConnection};
 use crate::dialect::{NEW, OLD};
 use crate::download::{BodyLength, Download, Origin};
@@ -66,7 +67,7 @@
     /// Counts the request's attempts; `None` for probes.
     pub counters: Option<Rc<ClassCounters>>,
     /// The connection of the client that waits for the response; `None` for probes.
-    pub client: Option<StreamMonitor>,
+    pub client: Option<ClientPresence>,
     /// The memory reserved for the body.
     pub _reservation: Option<Reservation>,
 }
@@ -322,6 +323,11 @@
             return Outcome::NotSent.into();
         }
         loop {
+            // Nothing new is begun for a client that may have gone unseen.
+            let may_have_left = || request.client.as_ref().is_some_and(ClientPresence::may_have_left);
+            if may_have_left() {
+                return Outcome::NotSent.into();
+            }
             let mut connection = match self.connections.acquire(endpoint).await {
                 Ok(connection) => connection,
                 Err(outcome) => return outcome.into(),
@@ -330,7 +336,7 @@
             catch_up().await;
             // The server gets no more time than the client has left, and no request if no time is left.
             let remaining_time = request.remaining_time(gate.deadline);
-            if remaining_time.is_zero() || !gate.open() {
+            if remaining_time.is_zero() || may_have_left() || !gate.open() {
                 self.connections.release(endpoint, connection);
                 return Outcome::NotSent.into();
             }
@@ -386,8 +392,7 @@
                 Ok(attempt_result) if attempt_result.outcome == Outcome::Rejected => return attempt_result,
                 // The client had closed its connection before the first byte was written.
                 Err(ExchangeError::Connection)
-                    if written == 0
-                        && request.client.as_ref().is_some_and(StreamMonitor::is_closed_by_peer) =>
+                    if written == 0 && request.client.as_ref().is_some_and(ClientPresence::has_left) =>
                 {
                     gate.mark_unsent();
                     return Outcome::NotSent.into();
@@ -420,7 +425,8 @@
         let flag = Arc::clone(&got_informational);
         hyper::ext::on_informational(&mut http_request, move |_| flag.store(true, Ordering::Relaxed));
         let received = monitor.bytes_received();
-        monitor.begin_request(MAX_BUFFERED_READ_BYTES, request.client.clone());
+        let client = request.client.as_ref().map(|client| client.monitor().clone());
+        monitor.begin_request(MAX_BUFFERED_READ_BYTES, client);
         let arrival = ResponseArrival {
             gate,
             is_long: Cell::new(false),
--- a/crates/agent/src/backend/tests.rs
+++ b/crates/agent/src/backend/tests.rs
@@ -91,7 +91,7 @@
         };
         let gate = Gate::new(&is_sent, &may_send, Instant::now() + Duration::from_secs(60));
         let upstream = new_upstream(4, &[]);
-        let request = UpstreamRequest { client: Some(monitor), ..post(9) };
+        let request = UpstreamRequest { client: Some(ClientPresence::new(monitor)), ..post(9) };
         let (outcome, received) = LocalSet::new()
             .run_until(async {
                 let receive = async {
--- a/crates/agent/src/legacy.rs
+++ b/crates/agent/src/legacy.rs
@@ -3,6 +3,7 @@
 use crate::backend::{LegacyRequest, UpstreamRequest};
 use crate::body_buffer::BodyBuffer;
 use crate::client_connections::ClientConnection;
+use crate::client_presence::ClientPresence;
 use crate::dialect::{self, SOAP_ACTION};
 use crate::intake::{body_error, check_end, discard_body, Catalogue, Class, CALL_ID, IDEMPOTENCY_KEY};
 use crate::pools::HttpPool;
@@ -192,7 +193,7 @@
     let new_request = new_request(&mapping, &class, &head.headers, &call_id, key, translated);
     let mut new_request = new_request.ok_or_else(|| bad_request("its path or a header can't be written"))?;
     new_request.request._reservation = Some(reservation);
-    new_request.request.client = Some(connection.monitor().clone());
+    new_request.request.client = Some(ClientPresence::new(connection.monitor().clone()));
     new_request.request.legacy = legacy.map(Box::new);
     new_request.dialects = dialect::dialects(sides);
     Ok(Translated { new_request, class, notices })
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,6 +7,7 @@
 mod body_buffer;
 mod cli;
 mod client_connections;
+mod client_presence;
 mod config;
 mod connect;
 mod connections;
