Send nothing for a server to the next one that listens at its address

What callers saw: a server had gone and another one came up at its address; a request for the old one reached the new one.

Cause: the gate before the first byte checked the state of the server by its name, not whether the connection still leads to it. During the grace of a drain, and while the list names both, an attempt that was opening its connection was written to whatever listened there.

Change: the gate opens only for the incarnation that the attempt was begun with, and only while no other server has appeared later at the address. Such a server counts as removed for the decision module until it moves or the other one has gone. If a server itself has moved to another address meanwhile, its attempt begins again there, so that a reload costs no retry. Servers that share an address from the start are used as before.

--- a/crates/engine/src/pool/attempts.rs
+++ b/crates/engine/src/pool/attempts.rs
@@ -7,8 +7,8 @@
 use crate::clock::span;
 use crate::timing::sleep_until_caught_up;
 use crate::upstream::{
-    AttemptResult, BodyProgress, EndpointAddress, Gate, RequestPayload, ResponseProgress, ResponseWatch,
-    StreamingBody, Upstream,
+    AttemptResult, BodyProgress, EndpointAddress, Gate, Incarnation, RequestPayload, ResponseProgress,
+    ResponseWatch, StreamingBody, Upstream,
 };
 use heronhoist_decision::{AttemptNumber, Event, Outcome, RequestId, ServerId, Time};
 use std::cell::Cell;
@@ -74,7 +74,7 @@
         spawn_local(async move {
             let result = match endpoint {
                 Some(endpoint) => {
-                    let result = pool.run_attempt(attempt, endpoint, &request, deadlines, cancelled).await;
+                    let result = pool.attempt_server(attempt, endpoint, &request, deadlines, cancelled).await;
                     pool.0.state.borrow_mut().servers.end_use(server, result.outcome);
                     result
                 }
@@ -96,16 +96,43 @@
         }
     }
 
+    /// Runs an attempt at the server's address. If the server has moved before anything was sent, it begins again at the
+    /// new address.
+    async fn attempt_server(
+        &self,
+        attempt: Attempt,
+        mut endpoint: EndpointAddress<U::Address>,
+        request: &U::Request,
+        deadlines: AttemptDeadlines,
+        mut cancelled: oneshot::Receiver<()>,
+    ) -> AttemptResult<U::Response> {
+        loop {
+            let result =
+                self.run_attempt(attempt, endpoint.clone(), request, deadlines, &mut cancelled).await;
+            let current = self.0.state.borrow().servers.endpoint(attempt.server);
+            match current {
+                Some(current)
+                    if result.outcome == Outcome::NotSent
+                        && current.incarnation != endpoint.incarnation
+                        && Instant::now() < deadlines.timeout_at =>
+                {
+                    endpoint = current;
+                }
+                _ => return result,
+            }
+        }
+    }
+
     async fn run_attempt(
         &self,
         attempt: Attempt,
         endpoint: EndpointAddress<U::Address>,
         request: &U::Request,
         deadlines: AttemptDeadlines,
-        cancelled: oneshot::Receiver<()>,
+        cancelled: &mut oneshot::Receiver<()>,
     ) -> AttemptResult<U::Response> {
-        let (is_sent, server) = (Cell::new(false), endpoint.server);
-        let may_send = || self.may_send(attempt.request, server, deadlines.begin_by);
+        let (is_sent, server, incarnation) = (Cell::new(false), endpoint.server, endpoint.incarnation);
+        let may_send = || self.may_send(attempt.request, server, incarnation, deadlines.begin_by);
         let report = |progress| self.report_progress(attempt, progress);
         let time_up = Notify::new();
         let watch = ResponseWatch { report: &report, time_up: &time_up };
@@ -148,13 +175,20 @@
     }
 
     /// Returns whether the first byte of an attempt may be written now. Connecting may take long: by then the client
-    /// may have disconnected or received its response, and the deduplication window for a retry may have ended.
-    fn may_send(&self, request: RequestId, server: ServerId, begin_by: Time) -> bool {
+    /// may have disconnected or received its response, the deduplication window for a retry may have ended, and the
+    /// server may have left its address to another one.
+    fn may_send(
+        &self,
+        request: RequestId,
+        server: ServerId,
+        incarnation: Incarnation,
+        begin_by: Time,
+    ) -> bool {
         let state = self.0.state.borrow();
         let is_pending = state.requests.get(&request).is_some_and(super::requests::OpenRequest::is_pending);
         is_pending
             && self.0.clock.now() <= begin_by
-            && state.servers.may_send(server, self.0.settings.get().drain_grace)
+            && state.servers.may_send(server, incarnation, self.0.settings.get().drain_grace)
     }
 
     /// Converts a panic of an attempt into an outcome, so that it affects only this attempt. Without an outcome the
--- a/crates/engine/src/servers/mod.rs
+++ b/crates/engine/src/servers/mod.rs
@@ -5,11 +5,14 @@
 
 use crate::endpoint_source::{EndpointInfo, EndpointList, EndpointState};
 use crate::upstream::{EndpointAddress, Incarnation};
-use heronhoist_decision::{CellId, Dialects, Endpoint, MachineTypeId, Outcome, ServerId, Time, ZoneId};
+use heronhoist_decision::{
+    CellId, Dialects, Endpoint, MachineTypeId, Outcome, ServerId, Status, Time, ZoneId,
+};
 use name_interner::NameInterner;
 use rustc_hash::FxHashMap;
 use server::Server;
 use std::collections::{HashMap, HashSet};
+use std::hash::Hash;
 use std::time::Duration;
 
 /// The maximum number of servers that a pool tracks, including recently removed ones. Further entries of endpoint
@@ -34,21 +37,36 @@
     pub share: f64,
 }
 
+/// The server that an address belongs to.
+#[derive(Clone, Copy)]
+struct AddressOwner {
+    server: ServerId,
+    /// The number of the list in which its incarnation first appeared.
+    list_number: u64,
+}
+
 /// All servers that a pool tracks.
 pub(crate) struct Servers<A> {
     servers: FxHashMap<ServerId, Server<A>>,
     ids: HashMap<String, ServerId>,
+    /// The server that has appeared last at each address, and the number of the list in which it did. An address is no
+    /// identity: whatever listens there now is that server.
+    owners: HashMap<A, AddressOwner>,
+    /// The number of lists that have been applied.
+    list_count: u64,
     /// The id of the next new server. Ids are never reused, so that no state of a removed server applies to another.
     next_id: u32,
     zones: NameInterner,
     machine_types: NameInterner,
 }
 
-impl<A: Clone + PartialEq> Servers<A> {
+impl<A: Clone + Eq + Hash> Servers<A> {
     pub(crate) fn new(names: &ServerNames) -> Self {
         Servers {
             servers: FxHashMap::default(),
             ids: HashMap::new(),
+            owners: HashMap::new(),
+            list_count: 0,
             next_id: 0,
             zones: NameInterner::new(&names.zones),
             machine_types: NameInterner::new(&names.machine_types),
@@ -81,12 +99,25 @@
     /// Returns whether a server is serving and still in this incarnation.
     pub(crate) fn is_current(&self, server: ServerId, incarnation: Incarnation) -> bool {
         let server = self.servers.get(&server);
-        server.is_some_and(|server| server.is_serving && server.endpoint.incarnation == incarnation)
+        server.is_some_and(|server| {
+            server.is_serving && server.endpoint.incarnation == incarnation && !self.is_superseded(server)
+        })
     }
 
-    /// Returns whether the first byte of an attempt may still be written to a server.
-    pub(crate) fn may_send(&self, server: ServerId, drain_grace: Duration) -> bool {
-        self.servers.get(&server).is_some_and(|server| server.may_send(drain_grace))
+    /// Returns whether the first byte of an attempt may still be written to a server in this incarnation, at the address
+    /// that it had when the attempt began.
+    pub(crate) fn may_send(&self, server: ServerId, incarnation: Incarnation, drain_grace: Duration) -> bool {
+        self.servers.get(&server).is_some_and(|server| {
+            let is_current = server.endpoint.incarnation == incarnation && !self.is_superseded(server);
+            is_current && server.may_send(drain_grace)
+        })
+    }
+
+    /// Returns whether another server has appeared later at a server's address.
+    fn is_superseded(&self, server: &Server<A>) -> bool {
+        self.owners.get(&server.endpoint.address).is_some_and(|owner| {
+            owner.server != server.endpoint.server && owner.list_number > server.incarnation_list
+        })
     }
 
     /// Returns whether nothing is in flight to the server of this name and nothing will be sent to it. An unknown
@@ -106,6 +137,11 @@
         self.servers.keys().any(|server| condition(*server))
     }
 
+    /// Returns the present address of a server.
+    pub(crate) fn endpoint(&self, server: ServerId) -> Option<EndpointAddress<A>> {
+        self.servers.get(&server).map(|server| server.endpoint.clone())
+    }
+
     /// Counts an attempt or a health check as in flight to a server; `None` if the server is no longer tracked.
     pub(crate) fn begin_use(&mut self, server: ServerId) -> Option<EndpointAddress<A>> {
         let server = self.servers.get_mut(&server)?;
@@ -145,6 +181,7 @@
         self.servers.retain(|_, server| !server.is_expired(retention, &is_receiving_from));
         if self.servers.len() < count_before {
             self.ids.retain(|_, id| self.servers.contains_key(id));
+            self.owners.retain(|_, owner| self.servers.contains_key(&owner.server));
         }
     }
 
@@ -156,6 +193,7 @@
         list: EndpointList<A>,
         mut close_idle: impl FnMut(ServerId),
     ) -> Vec<Endpoint> {
+        self.list_count += 1;
         let entry_count = list.endpoints.len();
         let mut endpoints = Vec::with_capacity(entry_count);
         for info in list.endpoints {
@@ -171,18 +209,59 @@
             );
         }
         if list.is_complete {
-            self.remove_unlisted(&endpoints, close_idle);
+            self.remove_unlisted(&endpoints, &mut close_idle);
         }
+        self.hide_superseded(&mut endpoints, close_idle);
         endpoints
     }
 
+    /// Marks the servers as removed, for the decision module, whose address another server has taken.
+    fn hide_superseded(&mut self, endpoints: &mut Vec<Endpoint>, mut close_idle: impl FnMut(ServerId)) {
+        let is_hidden = |server: &&Server<A>| !server.is_removed && self.is_superseded(server);
+        let hidden: HashSet<ServerId> =
+            self.servers.values().filter(is_hidden).map(|server| server.endpoint.server).collect();
+        if hidden.is_empty() {
+            return;
+        }
+        let removed = |endpoint: &Endpoint| Endpoint { status: Status::Removed, ..endpoint.clone() };
+        for endpoint in endpoints.iter_mut().filter(|endpoint| hidden.contains(&endpoint.server)) {
+            *endpoint = removed(endpoint);
+        }
+        for (id, server) in &mut self.servers {
+            if hidden.contains(id) && !std::mem::replace(&mut server.is_hidden, true) {
+                close_idle(*id);
+                // Its address may have been taken by a list that does not name it.
+                if !endpoints.iter().any(|endpoint| endpoint.server == *id) {
+                    endpoints.extend(server.entry.as_ref().map(removed));
+                }
+            }
+        }
+    }
+
+    /// Records the server that an address belongs to from now on, or that it belongs to this server no more.
+    fn update_owner(&mut self, id: ServerId) {
+        let Some(server) = self.servers.get(&id) else { return };
+        let (address, list_number) = (server.endpoint.address.clone(), server.incarnation_list);
+        let owner = self.owners.get(&address).copied();
+        if server.is_removed {
+            if owner.is_some_and(|owner| owner.server == id) {
+                self.owners.remove(&address);
+            }
+        } else if owner.is_none_or(|owner| owner.list_number <= list_number) {
+            self.owners.insert(address, AddressOwner { server: id, list_number });
+        }
+    }
+
     fn remove_unlisted(&mut self, listed: &[Endpoint], mut close_idle: impl FnMut(ServerId)) {
         let listed: HashSet<ServerId> = listed.iter().map(|endpoint| endpoint.server).collect();
-        for (id, server) in &mut self.servers {
-            if !listed.contains(id) {
+        let unlisted: Vec<ServerId> =
+            self.servers.keys().copied().filter(|id| !listed.contains(id)).collect();
+        for id in unlisted {
+            if let Some(server) = self.servers.get_mut(&id) {
                 server.set_state(EndpointState::Removed);
-                close_idle(*id);
             }
+            self.update_owner(id);
+            close_idle(id);
         }
     }
 
@@ -193,16 +272,18 @@
         close_idle: &mut impl FnMut(ServerId),
     ) -> Option<Endpoint> {
         let id = self.id_of(&info.name)?;
-        let server = self.servers.entry(id).or_insert_with(|| Server::new(id, &info));
+        let list_number = self.list_count;
+        let server = self.servers.entry(id).or_insert_with(|| Server::new(id, &info, list_number));
         if server.is_other_incarnation(&info) {
-            server.begin_incarnation(&info);
+            server.begin_incarnation(&info, list_number);
             close_idle(id);
         }
         server.set_state(info.state);
         if info.state != EndpointState::Serving {
             close_idle(id);
         }
-        Some(Endpoint {
+        self.update_owner(id);
+        let entry = Endpoint {
             server: id,
             zone: ZoneId(self.zones.intern(&info.zone)),
             machine_type: MachineTypeId(self.machine_types.intern(&info.machine_type)),
@@ -211,7 +292,12 @@
             status: info.state.into(),
             weight: info.weight.filter(|weight| weight.is_finite()).unwrap_or(1.0),
             started_at: info.started_at,
-        })
+        };
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.entry = Some(entry.clone());
+            server.is_hidden = false;
+        }
+        Some(entry)
     }
 
     /// Returns the id of the server of this name, assigning a new id to a new server; `None` if [`MAX_SERVERS`] is
--- a/crates/engine/src/servers/server.rs
+++ b/crates/engine/src/servers/server.rs
@@ -3,7 +3,7 @@
 use crate::endpoint_source::{EndpointInfo, EndpointState};
 use crate::timing::stalled_since;
 use crate::upstream::{EndpointAddress, Incarnation};
-use heronhoist_decision::{Outcome, ServerId, Time};
+use heronhoist_decision::{Endpoint, Outcome, ServerId, Time};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -22,6 +22,12 @@
     /// When this process first read that the server is draining or removed.
     unavailable_since: Option<Instant>,
     started_at: Option<Time>,
+    /// The number of the list in which its present incarnation first appeared.
+    pub(super) incarnation_list: u64,
+    /// Its last entry for the decision module.
+    pub(super) entry: Option<Endpoint>,
+    /// Whether the decision module has been told that another server has taken its address.
+    pub(super) is_hidden: bool,
     /// The number of attempts and health checks in flight to it.
     pub(super) in_flight: usize,
     /// The number of attempts and health checks without a response since its last response.
@@ -29,7 +35,7 @@
 }
 
 impl<A: Clone + PartialEq> Server<A> {
-    pub(super) fn new(id: ServerId, info: &EndpointInfo<A>) -> Self {
+    pub(super) fn new(id: ServerId, info: &EndpointInfo<A>, list_number: u64) -> Self {
         Server {
             endpoint: EndpointAddress {
                 server: id,
@@ -41,6 +47,9 @@
             is_removed: false,
             unavailable_since: None,
             started_at: info.started_at,
+            incarnation_list: list_number,
+            entry: None,
+            is_hidden: false,
             in_flight: 0,
             consecutive_unanswered: 0,
         }
@@ -55,7 +64,8 @@
 
     /// Begins the incarnation that an entry describes. Attempts in flight continue with the incarnation they began
     /// with.
-    pub(super) fn begin_incarnation(&mut self, info: &EndpointInfo<A>) {
+    pub(super) fn begin_incarnation(&mut self, info: &EndpointInfo<A>, list_number: u64) {
+        self.incarnation_list = list_number;
         self.endpoint = EndpointAddress {
             server: self.endpoint.server,
             address: info.address.clone(),
--- a/crates/engine/src/servers/tests.rs
+++ b/crates/engine/src/servers/tests.rs
@@ -49,18 +49,18 @@
 async fn no_more_than_max_servers_are_tracked() {
     let mut servers = Servers::new(&ServerNames::default());
     for version in 0..3 {
-        let endpoints =
-            (0..3000).map(|index| EndpointInfo::serving(&format!("s{version}-{index}"), 80)).collect();
+        let server = |index| EndpointInfo::serving(&format!("s{version}-{index}"), version * 3000 + index);
+        let endpoints = (0..3000).map(server).collect();
         servers.apply(EndpointList { version, is_complete: false, endpoints }, |_| {});
     }
     assert_eq!((servers.servers.len(), servers.ids.len()), (MAX_SERVERS, MAX_SERVERS));
-    let draining = EndpointInfo { state: EndpointState::Draining, ..EndpointInfo::serving("s0-7", 80) };
+    let draining = EndpointInfo { state: EndpointState::Draining, ..EndpointInfo::serving("s0-7", 7) };
     let listed =
         servers.apply(EndpointList { version: 3, is_complete: false, endpoints: vec![draining] }, |_| {});
     assert_eq!(listed.len(), 1);
     assert_eq!(listed[0].status, Status::Draining);
     // New servers are accepted again once removed servers have been deleted after their retention.
-    let last = vec![EndpointInfo::serving("last", 80)];
+    let last = vec![EndpointInfo::serving("last", -1)];
     assert_eq!(
         servers.apply(EndpointList { version: 4, is_complete: true, endpoints: last.clone() }, |_| {}).len(),
         0
@@ -85,28 +85,35 @@
     let mut closed_idle = Vec::new();
     let id = servers.apply(list(1, EndpointState::Serving, None), |id| closed_idle.push(id))[0].server;
     let grace = Duration::from_millis(500);
-    assert!(servers.may_send(id, grace) && servers.is_current(id, Incarnation(0)) && closed_idle.is_empty());
+    assert!(
+        servers.may_send(id, Incarnation(0), grace)
+            && servers.is_current(id, Incarnation(0))
+            && closed_idle.is_empty()
+    );
     let endpoint = servers.begin_use(id).expect("known");
     servers.apply(list(2, EndpointState::Draining, None), |id| closed_idle.push(id));
     assert_eq!(closed_idle, [id]);
-    assert!(servers.may_send(id, grace) && !servers.has_serving());
+    assert!(servers.may_send(id, Incarnation(0), grace) && !servers.has_serving());
     tokio::time::advance(Duration::from_millis(299)).await;
     // Listing the drain again does not restart its grace period.
     servers.apply(list(3, EndpointState::Draining, None), |_| {});
-    assert!(servers.may_send(id, grace));
+    assert!(servers.may_send(id, Incarnation(0), grace));
     tokio::time::advance(Duration::from_millis(1)).await;
     assert!(
-        !servers.may_send(id, grace),
+        !servers.may_send(id, Incarnation(0), grace),
         "the margin of 0.2 s for a stall of 0.15 s and the transmission is left of the grace period"
     );
     servers.apply(list(4, EndpointState::Serving, Some(Time(7))), |_| {});
-    assert!(servers.may_send(id, grace) && servers.is_current(id, endpoint.incarnation.next()));
+    assert!(
+        servers.may_send(id, endpoint.incarnation.next(), grace)
+            && servers.is_current(id, endpoint.incarnation.next())
+    );
     servers.apply(EndpointList { version: 5, is_complete: true, endpoints: vec![] }, |_| {});
     servers.remove_expired(Duration::ZERO, receives_nothing);
     assert!(servers.begin_use(id).is_some(), "something is in flight to it");
     (0..2).for_each(|_| servers.end_use(id, Outcome::Cancelled));
     servers.remove_expired(Duration::ZERO, receives_nothing);
-    assert!(servers.begin_use(id).is_none() && !servers.may_send(id, grace));
+    assert!(servers.begin_use(id).is_none() && !servers.may_send(id, endpoint.incarnation.next(), grace));
 }
 
 fn missing(server: &str, share: f64) -> MissingCapacity {
@@ -163,3 +170,49 @@
     assert_eq!(interner.0.len() as u32, MAX_INTERNED_NAMES + 1);
     assert_eq!(interner.intern("another"), MAX_INTERNED_NAMES + 1);
 }
+
+/// A server that appears at the address of another one is the one that listens there, whether or not the list still names the other.
+#[tokio::test(start_paused = true)]
+async fn a_server_whose_address_another_one_has_taken_gets_no_more_requests() {
+    let grace = Duration::from_secs(9);
+    let list = |version, is_complete, endpoints| EndpointList { version, is_complete, endpoints };
+    let old = || EndpointInfo::serving("old", 80);
+    let new = || EndpointInfo::serving("new", 80);
+    for (is_complete, both) in [(true, vec![old(), new()]), (true, vec![new(), old()]), (false, vec![new()])]
+    {
+        let mut servers = Servers::new(&ServerNames::default());
+        let old_id = servers.apply(list(1, true, vec![old()]), |_| {})[0].server;
+        assert!(servers.may_send(old_id, Incarnation(0), grace));
+        let listed = servers.apply(list(2, is_complete, both.clone()), |_| {});
+        let status = |id| listed.iter().find(|endpoint| endpoint.server == id).map(|found| found.status);
+        let new_id = servers.ids["new"];
+        assert_eq!((status(old_id), status(new_id)), (Some(Status::Removed), Some(Status::Serving)));
+        assert!(!servers.may_send(old_id, Incarnation(0), grace));
+        assert!(servers.may_send(new_id, Incarnation(0), grace));
+        assert!(!servers.is_current(old_id, Incarnation(0)) && servers.is_current(new_id, Incarnation(0)));
+        // A list that repeats both changes nothing.
+        servers.apply(list(3, true, vec![new(), old()]), |_| {});
+        assert!(!servers.may_send(old_id, Incarnation(0), grace));
+        // The old one is back: at another address, or because the new one has gone.
+        let moved = EndpointInfo::serving("old", 81);
+        servers.apply(list(4, true, vec![moved, new()]), |_| {});
+        assert!(servers.may_send(old_id, Incarnation(1), grace));
+        assert!(!servers.may_send(old_id, Incarnation(0), grace), "not at its former address");
+        servers.apply(list(5, true, vec![old()]), |_| {});
+        assert!(servers.may_send(old_id, Incarnation(2), grace));
+        assert!(!servers.may_send(new_id, Incarnation(0), Duration::ZERO));
+    }
+}
+
+/// Servers that appear at one address in the same list are all used: nothing tells which one listens there.
+#[tokio::test(start_paused = true)]
+async fn servers_that_share_an_address_from_the_start_are_used() {
+    let mut servers = Servers::new(&ServerNames::default());
+    let endpoints = || vec![EndpointInfo::serving("a", 80), EndpointInfo::serving("b", 80)];
+    for version in 1..4 {
+        let listed =
+            servers.apply(EndpointList { version, is_complete: true, endpoints: endpoints() }, |_| {});
+        assert!(listed.iter().all(|endpoint| endpoint.status == Status::Serving));
+        assert!(servers.may_send(listed[0].server, Incarnation(0), Duration::from_secs(9)));
+    }
+}
--- a/crates/engine/src/timing/tests.rs
+++ b/crates/engine/src/timing/tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::endpoint_source::{EndpointInfo, EndpointList, EndpointState};
 use crate::servers::{ServerNames, Servers};
+use crate::upstream::Incarnation;
 use std::rc::Rc;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -147,7 +148,7 @@
                 servers.apply(EndpointList { version: 1, is_complete: true, endpoints: first }, |_| {});
             advance(stall).await;
             servers.apply(EndpointList { version: 2, is_complete: true, endpoints: second }, |_| {});
-            assert_eq!(servers.may_send(listed[0].server, GRACE), may_send, "{stall:?}");
+            assert_eq!(servers.may_send(listed[0].server, Incarnation(0), GRACE), may_send, "{stall:?}");
         }
     });
 }
--- a/crates/engine/src/upstream.rs
+++ b/crates/engine/src/upstream.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::fmt::Debug;
 use std::future::Future;
+use std::hash::Hash;
 use std::pin::Pin;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -166,7 +167,7 @@
 /// once.
 pub trait Upstream: 'static {
     /// The address of a server.
-    type Address: Clone + PartialEq + Debug + 'static;
+    type Address: Clone + Eq + Hash + Debug + 'static;
     /// A request to a server.
     type Request: RequestPayload + 'static;
     /// A server's response.
