Read ahead in a long body to see whether its client has left

Change: before an attempt begins late, more of the body is read, up to 1 MiB and within the memory for bodies, until the client's socket has room and its close would have arrived. Only longer bodies, or bodies for which there is no memory, are rejected.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -35,7 +35,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// The maximum number of bytes read for a buffered response: its body in small chunks, its head, and 1xx responses before it.
 const MAX_BUFFERED_READ_BYTES: u64 = 4 * MAX_BUFFERED_BYTES as u64;
@@ -45,6 +45,8 @@
 const STREAMING_DELAY: Duration = Duration::from_millis(50);
 /// What has arrived of a response of unknown length is held back for at most this long: a client may count a longer time as a loss.
 const MAX_HOLD_TIME: Duration = Duration::from_secs(1);
+/// How long the rest of what a peer has sent takes to arrive after this process has made room for it.
+const SOCKET_REFILL_TIME: Duration = Duration::from_millis(5);
 /// The time after which a health probe without a response has failed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// The largest valid value in a load report.
@@ -323,11 +325,6 @@
             return Outcome::NotSent.into();
         }
         loop {
-            // Nothing new is begun for a client that may have gone unseen.
-            let may_have_left = || request.client.as_ref().is_some_and(ClientPresence::may_have_left);
-            if may_have_left() {
-                return Outcome::NotSent.into();
-            }
             let mut connection = match self.connections.acquire(endpoint).await {
                 Ok(connection) => connection,
                 Err(outcome) => return outcome.into(),
@@ -336,7 +333,8 @@
             catch_up().await;
             // The server gets no more time than the client has left, and no request if no time is left.
             let remaining_time = request.remaining_time(gate.deadline);
-            if remaining_time.is_zero() || may_have_left() || !gate.open() {
+            let may_send = !remaining_time.is_zero() && self.is_client_present(request).await;
+            if !may_send || !gate.open() {
                 self.connections.release(endpoint, connection);
                 return Outcome::NotSent.into();
             }
@@ -408,6 +406,23 @@
         }
     }
 
+    /// Whether an attempt may begin for the client of a request. If its close may lie behind the rest of its body, some of that is
+    /// read first.
+    async fn is_client_present(&self, request: &UpstreamRequest) -> bool {
+        let Some(client) = request.client.as_ref().filter(|client| client.may_have_left()) else {
+            return true;
+        };
+        let Some(upload) = request.body.upload() else { return false };
+        while client.may_have_left() {
+            if !upload.read_ahead(&self.bodies, || client.may_have_left()).await {
+                return false;
+            }
+            // What the client's socket still holds, and its close, arrive once there is room for them.
+            sleep(SOCKET_REFILL_TIME).await;
+        }
+        !client.has_left()
+    }
+
     /// Sends a request and reads its response.
     async fn exchange(
         &self,
--- a/crates/agent/src/body_buffer.rs
+++ b/crates/agent/src/body_buffer.rs
@@ -61,11 +61,16 @@
 
     /// Returns the bytes that have arrived, without unused capacity.
     pub fn into_bytes(mut self) -> Bytes {
-        if self.joined.is_empty() {
-            return self.only;
+        self.share()
+    }
+
+    /// Returns the bytes that have arrived so far; they are shared with this buffer until the next piece arrives.
+    pub fn share(&mut self) -> Bytes {
+        if !self.joined.is_empty() {
+            self.joined.shrink_to_fit();
+            self.only = std::mem::take(&mut self.joined).into();
         }
-        self.joined.shrink_to_fit();
-        self.joined.into()
+        self.only.clone()
     }
 }
 
--- a/crates/agent/src/intake.rs
+++ b/crates/agent/src/intake.rs
@@ -170,12 +170,7 @@
         let body = if ended {
             RequestBody::Buffered(buffered.into_bytes())
         } else {
-            RequestBody::Streaming(Upload::new(
-                buffered.into_bytes(),
-                reader,
-                stated,
-                connection.monitor().clone(),
-            ))
+            RequestBody::Streaming(Upload::new(buffered, reader, stated, connection.monitor().clone()))
         };
         let client_timeout = client_timeout.min(class.deadline());
         // The client's timeout runs from the last byte of its request.
--- a/crates/agent/src/upload.rs
+++ b/crates/agent/src/upload.rs
@@ -2,11 +2,12 @@
 //! a record server, no faster than the server takes it.
 
 use crate::body_arrival::BodyArrival;
+use crate::body_buffer::BodyBuffer;
 use crate::metered_stream::StreamMonitor;
 use crate::send_buffer::max_send_buffer_bytes;
 use bytes::Bytes;
 use heronhoist_engine::timing::{stalled_since, DeadlineTimer};
-use heronhoist_engine::StreamingBody;
+use heronhoist_engine::{QuotaShare, Reservation, StreamingBody};
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -22,6 +23,10 @@
 pub const MAX_BODY_BYTES: u64 = 32 * 1024 * 1024;
 /// The part of a body that is buffered, in bytes; a body that fits can be sent again.
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
+/// The maximum size of the buffered beginning after more has been read ahead, ...
+const MAX_READ_AHEAD_BYTES: usize = 1024 * 1024;
+/// ... for which memory is reserved in steps.
+const READ_AHEAD_STEP_BYTES: usize = 64 * 1024;
 /// How long a read may wait for the next bytes from the client.
 const READ_TIMEOUT: Duration = Duration::from_millis(1200);
 /// How long all reads of a body may wait together, apart from a time for each byte.
@@ -119,7 +124,9 @@
 /// A streamed body: one that is too long to be buffered.
 pub struct Upload {
     /// Its beginning, until an attempt takes more than that.
-    buffered: RefCell<Option<Bytes>>,
+    buffered: RefCell<Option<BodyBuffer>>,
+    /// The memory for what has been read ahead.
+    read_ahead: RefCell<Vec<Reservation>>,
     rest: RefCell<Option<BodyReader>>,
     /// Its total length, if the head states it.
     length: Option<u64>,
@@ -135,12 +142,28 @@
 
 impl Upload {
     /// A body whose beginning has been read from this connection.
-    pub fn new(buffered: Bytes, rest: BodyReader, length: Option<u64>, client: StreamMonitor) -> Rc<Self> {
+    pub fn new(
+        buffered: BodyBuffer,
+        rest: BodyReader,
+        length: Option<u64>,
+        client: StreamMonitor,
+    ) -> Rc<Self> {
         let state = watch::Sender::new(UploadState::Incomplete);
         let arrival = RefCell::new(BodyArrival::new(Instant::now(), max_send_buffer_bytes()));
         let (buffered, rest) = (RefCell::new(Some(buffered)), RefCell::new(Some(rest)));
         let (is_consumed, awaits_client) = (Cell::new(false), Cell::new(false));
-        Rc::new(Upload { buffered, rest, length, is_consumed, arrival, client, awaits_client, state })
+        let read_ahead = RefCell::default();
+        Rc::new(Upload {
+            buffered,
+            read_ahead,
+            rest,
+            length,
+            is_consumed,
+            arrival,
+            client,
+            awaits_client,
+            state,
+        })
     }
 
     /// The earliest time at which the last byte can have arrived, by what has been seen until now. It is the present if some of the
@@ -224,7 +247,45 @@
         self.rest.borrow_mut().take().filter(|_| is_incomplete)
     }
 
+    /// Buffers more of the body while `condition` holds and more has arrived, within the quota for `bodies`. Returns false if there is
+    /// no room for more, or an attempt has begun to send the body.
+    pub async fn read_ahead(&self, bodies: &Rc<QuotaShare>, condition: impl Fn() -> bool) -> bool {
+        while condition() && self.state() == UploadState::Incomplete {
+            let buffered = self.buffered.borrow().as_ref().map_or(MAX_READ_AHEAD_BYTES, BodyBuffer::len);
+            if buffered >= MAX_READ_AHEAD_BYTES || !self.reserve_for(buffered, bodies) {
+                return false;
+            }
+            let next = poll_fn(|cx| self.poll_next(cx)).await;
+            if let (Some(Ok(data)), Some(buffer)) = (next, &mut *self.buffered.borrow_mut()) {
+                buffer.push(data);
+            }
+        }
+        true
+    }
+
+    /// Reserves memory for more bytes behind the first `buffered` ones; returns false if there is none.
+    fn reserve_for(&self, buffered: usize, bodies: &Rc<QuotaShare>) -> bool {
+        let mut reservations = self.read_ahead.borrow_mut();
+        // The beginning, and one read beyond it, are reserved for already.
+        let reserved = MAX_BUFFERED_BYTES + reservations.len() * READ_AHEAD_STEP_BYTES;
+        if buffered >= reserved {
+            reservations.extend(bodies.try_reserve(READ_AHEAD_STEP_BYTES));
+        }
+        buffered < MAX_BUFFERED_BYTES + reservations.len() * READ_AHEAD_STEP_BYTES
+    }
+
+    /// Reads on for an attempt, after which the body can't be sent again.
     fn poll_rest(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, UploadError>>> {
+        let next = ready!(self.poll_next(cx));
+        if let Some(Ok(_)) = next {
+            self.is_consumed.set(true);
+            self.buffered.borrow_mut().take();
+            self.read_ahead.borrow_mut().clear();
+        }
+        Poll::Ready(next)
+    }
+
+    fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, UploadError>>> {
         if let UploadState::Complete(_) = self.state() {
             return Poll::Ready(None);
         }
@@ -238,8 +299,6 @@
         };
         match &next {
             Some(Ok(_)) => {
-                self.is_consumed.set(true);
-                self.buffered.borrow_mut().take();
                 self.record_read(rest.bytes_read);
                 if self.length == Some(rest.bytes_read) {
                     self.state.send_replace(self.complete_state());
@@ -340,7 +399,10 @@
         match self.get_mut() {
             AttemptBody::Buffered(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             AttemptBody::Streaming { upload, has_begun, written } => {
-                let buffered = upload.buffered.borrow().clone().filter(|_| !*has_begun);
+                let buffered = match &mut *upload.buffered.borrow_mut() {
+                    Some(buffer) if !*has_begun => Some(buffer.share()),
+                    _ => None,
+                };
                 let data = match buffered {
                     Some(data) => {
                         *has_begun = true;
--- a/crates/agent/tests/loopback/repeated_ids.rs
+++ b/crates/agent/tests/loopback/repeated_ids.rs
@@ -1,8 +1,11 @@
 //! Requests that come again under their id after their client has left, and requests whose client has left: nothing runs twice, and
 //! nothing is sent for a client that has gone.
 
+use crate::bulk::raw_server;
 use crate::common::*;
-use std::io::Write;
+use std::io::{Read, Write};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -178,35 +181,52 @@
     }
 }
 
-/// The same with a long body that waits for a server.
+/// The same with long bodies that wait for a server: of one the agent can read all that has arrived, of the other it can't.
 #[test]
 fn a_long_request_that_waits_for_a_server_is_not_sent_once_its_client_has_gone() {
-    let server = RecordServer::new(|_| ok("x"));
-    let draining = target("s", server.address, "DRAINING", 0);
-    let discovery = Discovery::new(draining.clone());
-    let agent = Agent::start(&config(discovery.address, &draining, SETTINGS, 1024));
-    let head =
-        request("once", 9000).replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 1000000\r\n\r\n");
-    let closed_at = write_and_leave(&agent, &(head + &"x".repeat(1_000_000)));
-    thread::sleep((closed_at + GONE_AFTER).saturating_duration_since(Instant::now()));
-    discovery.set_targets(serving("s", server.address));
-    discovery.sent_versions.wait_for(2);
-    thread::sleep(Duration::from_millis(500));
-    assert_eq!(server.connections_opened.all().len(), 0, "a request was sent for a client that had gone");
+    for bytes in [500_000, 3_000_000] {
+        let received = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&received);
+        let server = raw_server(move |mut stream| {
+            while let Ok(read @ 1..) = stream.read(&mut [0; 4096]) {
+                count.fetch_add(read, Ordering::SeqCst);
+            }
+        });
+        let draining = target("s", server, "DRAINING", 0);
+        let discovery = Discovery::new(draining.clone());
+        let agent = Agent::start(&config(discovery.address, &draining, SETTINGS, 1024));
+        let head = long_head(bytes);
+        let closed_at = write_and_leave(&agent, &(head + &"x".repeat(bytes)));
+        thread::sleep((closed_at + GONE_AFTER).saturating_duration_since(Instant::now()));
+        discovery.set_targets(serving("s", server));
+        discovery.sent_versions.wait_for(2);
+        thread::sleep(Duration::from_millis(500));
+        assert_eq!(received.load(Ordering::SeqCst), 0, "{bytes}: sent for a client that had gone");
+    }
 }
 
-/// A client that stays gets its response, however much it has sent ahead.
+/// The head of a request with a body of this length.
+fn long_head(bytes: usize) -> String {
+    let length = format!("Content-Length: {bytes}\r\n\r\n");
+    request("once", 9000).replace("Content-Length: 4\r\n\r\nbody", &length)
+}
+
+/// A client that stays is served after such a wait if its body can be read ahead. A longer one may be rejected.
 #[test]
 fn a_long_request_that_waits_for_a_server_is_answered() {
-    let server = RecordServer::new(|_| ok("x"));
-    let draining = target("s", server.address, "DRAINING", 0);
-    let discovery = Discovery::new(draining.clone());
-    let agent = Agent::start(&config(discovery.address, &draining, SETTINGS, 1024));
-    let head =
-        request("once", 9000).replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 1000000\r\n\r\n");
-    let mut client = Client::connect(&agent);
-    client.write(&(head + &"x".repeat(1_000_000)));
-    discovery.set_targets(serving("s", server.address));
-    let status = client.read().map(|response| response.status());
-    assert!(matches!(status, Some(200 | 503)), "{status:?}");
+    for (bytes, expected) in [(500_000, &[200][..]), (3_000_000, &[200, 503])] {
+        let server = RecordServer::new(|_| ok("x"));
+        let draining = target("s", server.address, "DRAINING", 0);
+        let discovery = Discovery::new(draining.clone());
+        let agent = Agent::start(&config(discovery.address, &draining, SETTINGS, 1024));
+        let mut client = Client::connect(&agent);
+        let mut output = client.stream.try_clone().unwrap();
+        let text = long_head(bytes) + &"x".repeat(bytes);
+        let writing = thread::spawn(move || drop(output.write_all(text.as_bytes())));
+        thread::sleep(GONE_AFTER * 2);
+        discovery.set_targets(serving("s", server.address));
+        let status = client.read().map(|response| response.status());
+        assert!(status.is_some_and(|status| expected.contains(&status)), "{bytes}: {status:?}");
+        writing.join().unwrap();
+    }
 }
