Limit the kernel's receive buffer of each connection

An agent can have hundreds of such connections, and on a platform that counts socket buffers they are part of its memory.

Change: SO_RCVBUF is set as SO_SNDBUF is, to 128 KiB.

The sum over all connections is not part of the memory that the agent counts (docs/open.md).

--- a/crates/agent/src/metered_stream.rs
+++ b/crates/agent/src/metered_stream.rs
@@ -22,6 +22,9 @@
 const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// The kernel's send buffer. With a larger one, a peer that reads slowly would look stalled for a long time.
 const SEND_BUFFER_BYTES: usize = 64 * 1024;
+/// The kernel's receive buffer. By itself it would grow to many megabytes for each peer that sends faster than its bytes are passed
+/// on.
+const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
 
 thread_local! {
     /// Holds the bytes of one read on their way from the kernel to hyper.
@@ -319,6 +322,7 @@
     fn with(stream: TcpStream, held: Box<dyn Any>, meter: Meter) -> (MeteredStream, StreamMonitor) {
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES);
+        let _ = socket2::SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
         let (stream, meter) = (Rc::new(stream), Rc::new(meter));
         let monitor = StreamMonitor { stream: Rc::downgrade(&stream), meter: Rc::clone(&meter) };
         (MeteredStream { stream, meter, _held: held }, monitor)
--- a/crates/agent/tests/loopback/memory.rs
+++ b/crates/agent/tests/loopback/memory.rs
@@ -245,3 +245,38 @@
     drop(clients);
     assert_within_limit(&mut agent, "a crowd");
 }
+
+/// The bytes that lie in the receive buffers of the connections to this server that other processes have opened.
+fn received_by_peers_of(server: SocketAddr) -> u64 {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let remote = format!(":{:04X}", server.port());
+    let queue = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let (_, received) = fields.get(4)?.split_once(':')?;
+        fields.get(2)?.ends_with(&remote).then(|| u64::from_str_radix(received, 16).unwrap())
+    };
+    table.lines().filter_map(queue).sum()
+}
+
+/// Guards against the kernel's own limit on what a connection holds, which is tens of megabytes on some machines.
+#[test]
+fn a_server_that_sends_faster_than_its_client_reads_fills_no_large_buffer() {
+    const READ_FAST: usize = 20 << 20;
+    const MAX_RECEIVED: u64 = 512 * 1024;
+    let _turn = take_turn();
+    let server = raw_server(|stream| {
+        let mut input = BufReader::new(stream.try_clone().unwrap());
+        while read_head(&mut input).is_some() {
+            let _ = write!(&stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", 32 << 20);
+            let _ = (&stream).write_all(&vec![b'x'; 32 << 20]);
+        }
+    });
+    let (agent, _discovery) = small_agent(server);
+    let mut client = Client::connect(&agent);
+    client.write(&request("read", 9000));
+    // The kernel enlarges the buffer of a connection that is read fast.
+    client.stream.read_exact(&mut vec![0; READ_FAST]).unwrap();
+    thread::sleep(Duration::from_millis(300));
+    let received = received_by_peers_of(server);
+    assert!(received <= MAX_RECEIVED, "{received} bytes");
+}
