--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -1,15 +1,14 @@
 //! Sends attempts and health probes to record servers, and converts their responses and failures to outcomes.
 
 mod messages;
+mod response_reader;
 mod stalls;
 
-use crate::body_buffer::BodyBuffer;
 use crate::client_presence::ClientPresence;
 use crate::connections::{ConnectionUsage, Connections, EndpointAddress, PooledConnection};
 use crate::dialect::{NEW, OLD};
-use crate::download::{BodyLength, Download, Origin};
+use crate::download::{Download, Origin};
 use crate::idle_timeout::ConnectionEnd;
-use crate::metered_stream::StreamMonitor;
 use crate::metrics::ClassCounters;
 use crate::stall_timeout::StallTimeout;
 use crate::upload::{RequestBody, UploadState, MAX_BUFFERED_BYTES};
@@ -19,39 +18,26 @@
 use heronhoist_engine::{
     Gate, Incarnation, QuotaShare, Reservation, ResponseProgress, StreamingBody, Upstream,
 };
-use heronhoist_translate::wire::error_response::is_rejection;
 use heronhoist_translate::Mapping;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONTENT_TYPE};
-use hyper::{Method, Response, StatusCode, Uri};
-use messages::{body_length, build_http_request};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Uri};
+use messages::build_http_request;
+use response_reader::ResponseArrival;
 use stalls::{watch_response, write_stalled};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Notify;
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep, Instant};
 
 /// The maximum number of bytes read for a buffered response: its body in small chunks, its head, and 1xx responses before it.
 const MAX_BUFFERED_READ_BYTES: u64 = 4 * MAX_BUFFERED_BYTES as u64;
-/// A response of unknown length is forwarded as a stream once more bytes than this have arrived, ...
-const MIN_STREAMING_BYTES: usize = 4 * 1024;
-/// ... and this much time has passed.
-const STREAMING_DELAY: Duration = Duration::from_millis(50);
-/// What has arrived of a response of unknown length is held back for at most this long: a client may count a longer time as a loss.
-const MAX_HOLD_TIME: Duration = Duration::from_secs(1);
 /// How long the rest of what a peer has sent takes to arrive after this process has made room for it.
 const SOCKET_REFILL_TIME: Duration = Duration::from_millis(5);
 /// The time after which a health probe without a response has failed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// The largest valid value in a load report.
-const MAX_REPORT_VALUE: f64 = 1e5;
-
 /// A client's request as it is sent to a server.
 pub struct UpstreamRequest {
     /// The method.
@@ -183,43 +169,6 @@
     }
 }
 
-/// What decides on a response while it arrives.
-struct ResponseArrival<'a> {
-    gate: &'a Gate<'a>,
-    /// It is too long to be buffered by its head, or probably so by what has arrived: it is forwarded when it pauses.
-    is_long: Cell<bool>,
-    /// Whether its beginning has been reported.
-    has_begun: Cell<bool>,
-    /// Notified when a long response pauses.
-    paused: Notify,
-}
-
-impl ResponseArrival<'_> {
-    /// Handles a pause: what has arrived of a long response is forwarded. Returns false for any other.
-    fn forward_if_long(&self) -> bool {
-        if self.is_long.get() {
-            self.paused.notify_one();
-        }
-        self.is_long.get()
-    }
-
-    /// Reports that the response has begun, and waits until what has arrived must be forwarded: the client waits for its first
-    /// bytes, and there may be no more in time. Never returns if only the whole response can be forwarded.
-    async fn must_forward(&self, can_forward_part: bool, hold_until: Instant) {
-        if !self.has_begun.replace(true) {
-            self.gate.report(ResponseProgress::Begun);
-        }
-        if !can_forward_part {
-            return std::future::pending().await;
-        }
-        tokio::select! {
-            () = self.paused.notified() => {}
-            () = self.gate.time_up() => {}
-            () = sleep_until(hold_until) => {}
-        }
-    }
-}
-
 /// Why an exchange yielded no response.
 enum ExchangeError {
     /// The connection ended, or the response could not be parsed.
@@ -442,12 +391,7 @@
         let received = monitor.bytes_received();
         let client = request.client.as_ref().map(|client| client.monitor().clone());
         monitor.begin_request(MAX_BUFFERED_READ_BYTES, client);
-        let arrival = ResponseArrival {
-            gate,
-            is_long: Cell::new(false),
-            has_begun: Cell::new(false),
-            paused: Notify::new(),
-        };
+        let arrival = ResponseArrival::new(gate);
         let send_and_read = async {
             let response =
                 sender.try_send_request(http_request).await.map_err(|_| ExchangeError::Connection)?;
@@ -468,96 +412,6 @@
         }
     }
 
-    /// Reads a response. A short one is read to its end, so that an invalid one is not forwarded; a long one only until it is
-    /// known to be long. One whose length is not known counts as long when the time of the attempt is up, or when it has been held
-    /// back for long.
-    async fn read(
-        &self,
-        response: Response<Incoming>,
-        monitor: &StreamMonitor,
-        dialect: DialectId,
-        arrival: &ResponseArrival<'_>,
-    ) -> Result<AttemptResult, ExchangeError> {
-        let (head, mut body) = response.into_parts();
-        let framing = body_length(head.status, &head.headers).ok_or(ExchangeError::InvalidResponse)?;
-        let length = framing.bytes();
-        let max_buffered =
-            length.unwrap_or(MAX_BUFFERED_BYTES as u64).min(MAX_BUFFERED_BYTES as u64) as usize;
-        let reservation = self.bodies.try_reserve(max_buffered).ok_or(ExchangeError::InvalidResponse)?;
-        let is_long = length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64);
-        let can_forward_part = head.status == StatusCode::OK && (is_long || length.is_none());
-        let mut buffered = BodyBuffer::default();
-        let (mut is_complete, mut start) = (false, None);
-        while buffered.len() <= MAX_BUFFERED_BYTES && (buffered.is_empty() || !is_long) {
-            // A body that keeps arriving slowly may be long too; one that has stalled is not forwarded.
-            let start = *start.get_or_insert_with(Instant::now);
-            if length.is_none() && buffered.len() > MIN_STREAMING_BYTES && start.elapsed() > STREAMING_DELAY {
-                break;
-            }
-            arrival.is_long.set(can_forward_part && (is_long || buffered.len() > MIN_STREAMING_BYTES));
-            let frame = tokio::select! {
-                biased;
-                frame = body.frame() => frame,
-                () = arrival.must_forward(can_forward_part, start + MAX_HOLD_TIME) => break,
-            };
-            match frame {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        buffered.push(data);
-                    }
-                }
-                Some(Err(_)) => return Err(ExchangeError::InvalidResponse),
-                None => {
-                    is_complete = true;
-                    break;
-                }
-            }
-        }
-        if is_complete && framing == BodyLength::CloseDelimited && !monitor.has_ended_cleanly() {
-            return Err(ExchangeError::InvalidResponse);
-        }
-        let load_report =
-            head.headers.get("x-load-report").and_then(|value| self.parse_report(value.as_bytes()));
-        let is_rejection = match dialect {
-            OLD if head.status != StatusCode::OK => {
-                is_complete && is_rejection(head.status.as_u16(), buffered.as_slice())
-            }
-            _ => head.headers.get("x-rejected").is_some_and(|value| value == "1"),
-        };
-        let outcome = match head.status {
-            StatusCode::OK => Outcome::Success,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if is_rejection => {
-                Outcome::Rejected
-            }
-            _ => Outcome::ServerError,
-        };
-        if outcome != Outcome::Success {
-            // The body is not forwarded. The connection is not kept if the body is long.
-            return if is_complete {
-                Ok(AttemptResult { outcome, load_report, response: None })
-            } else {
-                Err(ExchangeError::InvalidResponse)
-            };
-        }
-        let content_type = head.headers.get(CONTENT_TYPE).cloned();
-        let body = if is_complete {
-            ResponseBody::Buffered(buffered.into_bytes(), reservation)
-        } else {
-            monitor.lift_read_limit();
-            ResponseBody::Streaming(Box::new(Download::new(
-                buffered.into_bytes(),
-                body,
-                framing,
-                reservation,
-            )))
-        };
-        Ok(AttemptResult {
-            outcome,
-            load_report,
-            response: Some(UpstreamResponse { body, content_type, dialect }),
-        })
-    }
-
     /// Sends a health probe to a server.
     pub async fn probe(&self, endpoint: EndpointAddress) -> AttemptResult {
         // The old dialect has no health check: a server that responds at all is healthy.
@@ -599,25 +453,6 @@
         }
         result
     }
-
-    /// Parses a load report. Returns its values in the order of the settings; `None` if it is malformed, lacks a field or has a
-    /// value out of range.
-    fn parse_report(&self, text: &[u8]) -> Option<Vec<f64>> {
-        if !self.has_reports.get() {
-            return None;
-        }
-        let text = std::str::from_utf8(text).ok()?;
-        let text = text.trim();
-        let pairs: Option<HashMap<&str, f64>> = text.split(',').map(parse_pair).collect();
-        let pairs = pairs?;
-        self.report_names.borrow().iter().map(|name| pairs.get(name.as_str()).copied()).collect()
-    }
-}
-
-fn parse_pair(text: &str) -> Option<(&str, f64)> {
-    let (name, value) = text.split_once('=')?;
-    let value: f64 = value.trim().parse().ok()?;
-    (0.0..=MAX_REPORT_VALUE).contains(&value).then_some((name.trim(), value))
 }
 
 #[cfg(test)]
