--- a/crates/agent/tests/soak/clients.rs
+++ b/crates/agent/tests/soak/clients.rs
@@ -16,6 +16,14 @@
 const BODY_BYTES: [usize; 5] = [1, 900, 30_000, 131_842, 201_012];
 const BUDGETS_MS: [u64; 4] = [77, 400, 900, 1500];
 
+/// With more time than this, a response whose server writes its head at once begins in time.
+const MIN_BUDGET_TO_BEGIN_MS: u64 = 400;
+
+/// Whether servers write the head of a response at once in this mode.
+fn is_begun_at_once(mode: &str) -> bool {
+    matches!(mode, "plain" | "late-body" | "lumps" | "lumps-close")
+}
+
 /// A response as far as it has come.
 struct Response {
     status: u16,
@@ -127,7 +135,10 @@
                 connection = Some(input);
             }
             let kind = format!("{class}, {bytes} bytes, {mode}");
-            request = Some(Request { id: id_of(&text), kind, sent_at, ended_at, budget, ending });
+            let begins_in_time =
+                bytes > LONG && budget_ms >= MIN_BUDGET_TO_BEGIN_MS && is_begun_at_once(mode);
+            request =
+                Some(Request { id: id_of(&text), kind, begins_in_time, sent_at, ended_at, budget, ending });
             if is_answered || ended_at - sent_at > budget {
                 break;
             }
--- a/crates/agent/tests/soak/ledger.rs
+++ b/crates/agent/tests/soak/ledger.rs
@@ -34,6 +34,8 @@
     pub id: String,
     /// The class, the size and the mode of the response.
     pub kind: String,
+    /// Its server writes the head of a long response at once, well before the time of the client is up.
+    pub begins_in_time: bool,
     pub sent_at: Instant,
     pub ended_at: Instant,
     pub budget: Duration,
@@ -118,7 +120,11 @@
     fn loss_of(&self, request: &Request) -> Option<String> {
         let due = request.sent_at + request.budget + LOST_AFTER;
         let waited = request.ended_at - request.sent_at;
+        let has_run = self.runs.contains_key(&request.id);
         let text = match &request.ending {
+            Ending::Answered(status, _) if *status >= 500 && has_run && request.begins_in_time => {
+                format!("{} ran, its response had begun, and it got {status}", request.id)
+            }
             Ending::Answered(_, at) if *at <= due => return None,
             Ending::Answered(status, at) => {
                 format!(
