Reserve for a response what it takes while it is forwarded

Change: 64 KiB are reserved before a request is sent, and what a shorter response does not need is released when its head comes. No response is forwarded without its memory any more, so none can exceed it; a request for which there is none is not sent.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -20,7 +20,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
 use messages::build_http_request;
-use response_reader::{ResponseArrival, MIN_RESPONSE_BYTES};
+use response_reader::{ResponseArrival, RESPONSE_MEMORY_BYTES};
 use stalls::{watch_response, write_stalled};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -282,7 +282,7 @@
             let remaining_time = request.remaining_time(gate.deadline);
             let may_send = !remaining_time.is_zero() && self.is_client_present(request).await;
             // Without memory for its response a request is not sent: once it has run, the response is owed.
-            let reservation = self.bodies.try_reserve(MIN_RESPONSE_BYTES).filter(|_| may_send);
+            let reservation = self.bodies.try_reserve(RESPONSE_MEMORY_BYTES).filter(|_| may_send);
             let Some(reservation) = reservation.filter(|_| gate.open()) else {
                 self.connections.release(endpoint, connection);
                 return Outcome::NotSent.into();
--- a/crates/agent/src/backend/response_reader.rs
+++ b/crates/agent/src/backend/response_reader.rs
@@ -26,9 +26,9 @@
 const STREAMING_DELAY: Duration = Duration::from_millis(50);
 /// What has arrived of a response of unknown length is held back for at most this long: a client may count a longer time as a loss.
 const MAX_HOLD_TIME: Duration = Duration::from_secs(1);
-/// The memory that is reserved for a response before its request is sent: one read from its server. With no more than this, a response
-/// is forwarded as it arrives.
-pub(super) const MIN_RESPONSE_BYTES: usize = 16 * 1024;
+/// The memory that is reserved for a response before its request is sent: once that has run, its response is owed. A response that
+/// is forwarded as it arrives takes as much, in the buffers of two connections.
+pub(super) const RESPONSE_MEMORY_BYTES: usize = MAX_BUFFERED_BYTES;
 /// The largest valid value in a load report.
 const MAX_REPORT_VALUE: f64 = 1e5;
 
@@ -46,7 +46,7 @@
 }
 
 impl<'a> ResponseArrival<'a> {
-    /// The arrival of a response of which nothing has come, with [`MIN_RESPONSE_BYTES`] reserved for it.
+    /// The arrival of a response of which nothing has come, with [`RESPONSE_MEMORY_BYTES`] reserved for it.
     pub(super) fn new(gate: &'a Gate<'a>, reservation: Reservation) -> Self {
         let (is_long, has_begun, reservation) =
             (Cell::new(false), Cell::new(false), Cell::new(Some(reservation)));
@@ -98,19 +98,14 @@
         let framing = body_length(head.status, &head.headers).ok_or(ExchangeError::InvalidResponse)?;
         let length = framing.bytes();
         let mut reservation = arrival.reservation.take().ok_or(ExchangeError::InvalidResponse)?;
-        let wanted_bytes = match length {
-            Some(length) if length > MAX_BUFFERED_BYTES as u64 => MIN_RESPONSE_BYTES,
-            Some(length) => length as usize,
-            None => MAX_BUFFERED_BYTES,
-        };
-        // The request has run, so its response is forwarded whether or not there is memory to buffer it.
-        let has_memory = reservation.try_resize(wanted_bytes);
-        let max_buffered = if has_memory { MAX_BUFFERED_BYTES } else { 0 };
-        let is_long = !has_memory || length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64);
+        let is_long = length.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64);
+        if let Some(length) = length.filter(|_| !is_long) {
+            reservation.shrink(length as usize);
+        }
         let can_forward_part = head.status == StatusCode::OK && (is_long || length.is_none());
         let mut buffered = BodyBuffer::default();
         let (mut is_complete, mut start) = (false, None);
-        while buffered.len() <= max_buffered && (buffered.is_empty() || !is_long) {
+        while buffered.len() <= MAX_BUFFERED_BYTES && (buffered.is_empty() || !is_long) {
             // A body that keeps arriving slowly may be long too; one that has stalled is not forwarded.
             let start = *start.get_or_insert_with(Instant::now);
             if length.is_none() && buffered.len() > MIN_STREAMING_BYTES && start.elapsed() > STREAMING_DELAY {
--- a/crates/engine/src/quota.rs
+++ b/crates/engine/src/quota.rs
@@ -119,15 +119,11 @@
 }
 
 impl Reservation {
-    /// Changes the amount. Returns false, and changes nothing, if it is to grow by more than is available.
-    #[must_use]
-    pub fn try_resize(&mut self, amount: usize) -> bool {
-        if amount > self.amount && amount - self.amount > self.share.available() {
-            return false;
-        }
-        self.share.in_use.set(self.share.in_use.get() - self.amount + amount);
-        self.amount = amount;
-        true
+    /// Releases what exceeds an amount.
+    pub fn shrink(&mut self, amount: usize) {
+        let released = self.amount.saturating_sub(amount);
+        self.share.in_use.set(self.share.in_use.get() - released);
+        self.amount -= released;
     }
 }
 
