Log why a client's connection is closed and why an attempt is not sent

Events at the level debug: closing a client's connection (reason, phase, bytes received), attempt not sent (time, client, memory), and a request that has run under the same id.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -280,10 +280,20 @@
             catch_up().await;
             // The server gets no more time than the client has left, and no request if no time is left.
             let remaining_time = request.remaining_time(gate.deadline);
-            let may_send = !remaining_time.is_zero() && self.is_client_present(request).await;
+            let is_in_time = !remaining_time.is_zero();
+            let is_client_present = is_in_time && self.is_client_present(request).await;
             // Without memory for its response a request is not sent: once it has run, the response is owed.
-            let reservation = self.bodies.try_reserve(RESPONSE_MEMORY_BYTES).filter(|_| may_send);
-            let Some(reservation) = reservation.filter(|_| gate.open()) else {
+            let reservation = self.bodies.try_reserve(RESPONSE_MEMORY_BYTES);
+            let has_memory = reservation.is_some();
+            let Some(reservation) = reservation.filter(|_| is_client_present && gate.open()) else {
+                tracing::debug!(
+                    target: "heronhoist::attempt",
+                    server = endpoint.server.0,
+                    is_in_time,
+                    is_client_present,
+                    has_memory,
+                    "attempt not sent"
+                );
                 self.connections.release(endpoint, connection);
                 return Outcome::NotSent.into();
             };
--- a/crates/agent/src/client_connections.rs
+++ b/crates/agent/src/client_connections.rs
@@ -67,8 +67,23 @@
     Immediate,
 }
 
+/// Why the agent closes a connection, for the log.
+#[derive(Clone, Copy, Debug)]
+enum CloseReason {
+    /// It has timed out in its present phase.
+    TimedOut,
+    /// Other clients need to connect.
+    Evicted,
+    /// It is idle while many connections are open.
+    IdleOverThreshold,
+    /// The process shuts down.
+    Shutdown,
+}
+
 /// The state of a client's connection.
 pub struct ClientConnection {
+    /// Its number, for the log.
+    id: u64,
     monitor: StreamMonitor,
     phase: Cell<Phase>,
     phase_since: Cell<Instant>,
@@ -207,8 +222,17 @@
         is_recent
     }
 
-    fn request_close(&self, close: Close) {
+    fn request_close(&self, close: Close, reason: CloseReason) {
         if self.requested_close.get() != Some(Close::Immediate) {
+            tracing::debug!(
+                target: "heronhoist::client",
+                connection = self.id,
+                ?reason,
+                ?close,
+                phase = ?self.phase.get(),
+                received = self.monitor.bytes_received(),
+                "closing a client's connection"
+            );
             self.requested_close.set(Some(close));
             self.changes_at_close_request.set(self.phase_changes.get());
             self.close_request.notify_one();
@@ -355,7 +379,9 @@
 impl ClientConnections {
     /// Registers a new connection.
     pub fn register(&self, monitor: StreamMonitor) -> Registration<'_> {
+        let id = self.next_id.replace(self.next_id.get() + 1);
         let connection = Rc::new(ClientConnection {
+            id,
             monitor,
             phase: Cell::new(Phase::AwaitingRequest),
             phase_since: Cell::new(Instant::now()),
@@ -374,7 +400,6 @@
             close_request: Notify::new(),
             response_finished: Notify::new(),
         });
-        let id = self.next_id.replace(self.next_id.get() + 1);
         self.connections.borrow_mut().insert(id, Rc::clone(&connection));
         Registration { registry: self, id, connection }
     }
@@ -395,13 +420,15 @@
         for ((rank, _), connection) in ranked {
             match connection.phase.get() {
                 // A request may just be on its way on an idle connection.
-                _ if rank == EvictionRank::Idle => return connection.request_close(Close::Graceful),
+                _ if rank == EvictionRank::Idle => {
+                    return connection.request_close(Close::Graceful, CloseReason::Evicted)
+                }
                 _ if rank == EvictionRank::SilentResponse => {
-                    return connection.request_close(Close::Immediate)
+                    return connection.request_close(Close::Immediate, CloseReason::Evicted)
                 }
-                Phase::Closing => return connection.request_close(Close::Immediate),
+                Phase::Closing => return connection.request_close(Close::Immediate, CloseReason::Evicted),
                 _ if !connection.monitor.has_unread_bytes() => {
-                    return connection.request_close(Close::Immediate)
+                    return connection.request_close(Close::Immediate, CloseReason::Evicted)
                 }
                 // The client has sent something that hyper has not read yet.
                 Phase::AwaitingRequest => connection.enter_phase(Phase::ReadingHead),
@@ -417,7 +444,7 @@
         let (now, connections) = (Instant::now(), self.connections.borrow());
         for connection in connections.values() {
             if let Some(close) = connection.check_timeouts(now) {
-                connection.request_close(close);
+                connection.request_close(close, CloseReason::TimedOut);
             }
         }
         let is_idle = |connection: &&Rc<ClientConnection>| {
@@ -434,13 +461,16 @@
         };
         idle.sort_by_key(|connection| (connection.is_reused.get(), connection.phase_since.get()));
         for connection in idle.into_iter().take(connections.len().saturating_sub(idle_close_threshold)) {
-            connection.request_close(Close::Graceful);
+            connection.request_close(Close::Graceful, CloseReason::IdleOverThreshold);
         }
     }
 
     /// Closes the connections that are idle, and the others after their response.
     pub fn close_all(&self) {
-        self.connections.borrow().values().for_each(|connection| connection.request_close(Close::Graceful));
+        self.connections
+            .borrow()
+            .values()
+            .for_each(|connection| connection.request_close(Close::Graceful, CloseReason::Shutdown));
     }
 
     /// The number of connections on which a response is pending or being sent, or a part of a request has arrived.
--- a/crates/engine/src/pool/attempts.rs
+++ b/crates/engine/src/pool/attempts.rs
@@ -62,6 +62,12 @@
         // A request that has come again under an id that may have run fails without an attempt.
         let is_claimed = open.claim(&*self.0.claims);
         if let Some(responder) = open.responder.take_if(|_| !is_claimed) {
+            tracing::debug!(
+                target: "heronhoist::request",
+                pool = self.0.name,
+                request = request_id.0,
+                "the request has run under the same id, here or in another process"
+            );
             responder.send(FinalResponse::Failed);
         }
         // Nothing is sent if the request has its response, or if its attempts or its time are used up.
