--- a/crates/engine/src/timing.rs
+++ b/crates/engine/src/timing.rs
@@ -48,7 +48,7 @@
 }
 
 /// Returns at once while the event loop is running; after a stall, once the data that arrived meanwhile has been
-/// processed, but not much later than [`MAX_CATCH_UP_DURATION`].
+/// processed, or after a short time if the event loop is busy.
 pub async fn catch_up() {
     yield_while(|| stalled_since().is_some()).await;
 }
