Count what bodies and connections to servers take of the memory

Cause: when the agent gets little processor time, more attempts begin later than 50 ms after their request was read and read ahead, up to the memory for bodies. The buffer doubled its capacity, so it held up to twice what was counted. And connections to servers were limited by descriptors only.

Change: the buffer grows by 8 KiB at most; connections to servers are limited to 15 % of the memory (175 at 32 MB; above 90 MB nothing changes).

--- a/crates/agent/src/body_buffer.rs
+++ b/crates/agent/src/body_buffer.rs
@@ -9,6 +9,8 @@
 
 /// The capacity for the first bytes that are copied.
 const INITIAL_CAPACITY: usize = 1024;
+/// The most that the capacity grows by at a time: what is unused of it is not counted as memory for bodies.
+const MAX_GROWTH: usize = 8 * 1024;
 
 /// The pieces of a body that have arrived, joined.
 #[derive(Default)]
@@ -34,7 +36,8 @@
     fn append(&mut self, bytes: &[u8]) {
         let needed = self.joined.len() + bytes.len();
         if needed > self.joined.capacity() {
-            let capacity = needed.max(self.joined.capacity().saturating_mul(2)).max(INITIAL_CAPACITY);
+            let growth = self.joined.capacity().clamp(INITIAL_CAPACITY, MAX_GROWTH);
+            let capacity = needed.max(self.joined.capacity() + growth);
             self.joined.reserve_exact(capacity - self.joined.len());
         }
         self.joined.extend_from_slice(bytes);
--- a/crates/agent/src/config.rs
+++ b/crates/agent/src/config.rs
@@ -43,6 +43,10 @@
 /// The maximum memory that one client connection holds, in bytes: hyper's two buffers, and the tasks and structures around them.
 const MAX_CLIENT_BYTES: f64 = 28.0 * 1024.0;
 
+/// The fraction of the memory that connections to servers may hold.
+const SERVER_MEMORY_FRACTION: f64 = 0.15;
+/// The maximum memory that one connection to a server holds, in bytes: hyper's two buffers, and the tasks and structures around them.
+const MAX_SERVER_BYTES: f64 = 28.0 * 1024.0;
 /// The fraction of the memory that the ids of requests that may have run can hold.
 const CLAIM_MEMORY_FRACTION: f64 = 0.03;
 /// The maximum memory for one such id, in bytes: the id itself, and its entries in two collections.
@@ -94,6 +98,7 @@
         let memory = self.memory_bytes() / processes as f64;
         let request_descriptors = sockets.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_REQUEST_DESCRIPTORS);
         let clients = (memory * CLIENT_MEMORY_FRACTION / MAX_CLIENT_BYTES) as usize;
+        let servers = (memory * SERVER_MEMORY_FRACTION / MAX_SERVER_BYTES) as usize;
         // Clients may hold half of the descriptors for requests; idle connections must be closed well before that limit, so that
         // other clients can connect.
         let (idle_close_threshold, keep_alive_threshold) = (sockets / 6, sockets / 4);
@@ -104,7 +109,7 @@
                 keep_alive_threshold,
             },
             upstream: UpstreamLimits {
-                connections: request_descriptors - request_descriptors / 2,
+                connections: servers.min(request_descriptors - request_descriptors / 2),
                 body_bytes: (memory * BODY_MEMORY_FRACTION) as usize,
             },
         }
