--- a/crates/agent/src/body_buffer.rs
+++ b/crates/agent/src/body_buffer.rs
@@ -9,8 +9,10 @@
 
 /// The capacity for the first bytes that are copied.
 const INITIAL_CAPACITY: usize = 1024;
-/// The most that the capacity grows by at a time: what is unused of it is not counted as memory for bodies.
-const MAX_GROWTH: usize = 8 * 1024;
+/// The step in which memory is reserved for bodies; the capacity grows in the same steps.
+const GROWTH_STEP: usize = 64 * 1024;
+/// The largest piece that arrives at a time.
+const READ_BYTES: usize = 16 * 1024;
 
 /// The pieces of a body that have arrived, joined.
 #[derive(Default)]
@@ -36,8 +38,11 @@
     fn append(&mut self, bytes: &[u8]) {
         let needed = self.joined.len() + bytes.len();
         if needed > self.joined.capacity() {
-            let growth = self.joined.capacity().clamp(INITIAL_CAPACITY, MAX_GROWTH);
-            let capacity = needed.max(self.joined.capacity() + growth);
+            let capacity = match self.joined.capacity() {
+                present if present < GROWTH_STEP / 2 => needed.max(2 * present).max(INITIAL_CAPACITY),
+                // A multiple of what is reserved for, and one read beyond it.
+                _ => needed.saturating_sub(READ_BYTES).next_multiple_of(GROWTH_STEP) + READ_BYTES,
+            };
             self.joined.reserve_exact(capacity - self.joined.len());
         }
         self.joined.extend_from_slice(bytes);
