Check for the client before the time that a server is told is computed

Found on reading again. Reading ahead takes time, and stood behind the computation of X-Budget-Ms and the reading of what had arrived during a stall: both could be out of date at the first byte. And where a body had ended with other requests behind it, the check for its client went on until the attempt's deadline, holding a connection: there is nothing to read ahead there.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -36,6 +36,7 @@
 const SOCKET_REFILL_TIME: Duration = Duration::from_millis(5);
 /// The time after which a health probe without a response has failed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// A client's request as it is sent to a server.
 pub struct UpstreamRequest {
     /// The method.
@@ -276,16 +277,17 @@
                 Ok(connection) => connection,
                 Err(outcome) => return outcome.into(),
             };
+            let is_client_present = self.is_client_present(request).await;
             // Events that arrived while the process was paused close the gate too.
             catch_up().await;
             // The server gets no more time than the client has left, and no request if no time is left.
             let remaining_time = request.remaining_time(gate.deadline);
             let is_in_time = !remaining_time.is_zero();
-            let is_client_present = is_in_time && self.is_client_present(request).await;
             // Without memory for its response a request is not sent: once it has run, the response is owed.
             let reservation = self.bodies.try_reserve(RESPONSE_MEMORY_BYTES);
             let has_memory = reservation.is_some();
-            let Some(reservation) = reservation.filter(|_| is_client_present && gate.open()) else {
+            let may_send = is_client_present && is_in_time;
+            let Some(reservation) = reservation.filter(|_| may_send && gate.open()) else {
                 tracing::debug!(
                     target: "heronhoist::attempt",
                     server = endpoint.server.0,
@@ -374,7 +376,10 @@
         };
         let Some(upload) = request.body.upload() else { return false };
         while client.may_have_left() {
-            if !upload.read_ahead(&self.bodies, || client.may_have_left()).await {
+            let has_room = upload.read_ahead(&self.bodies, || client.may_have_left()).await;
+            // Behind the end of the body there is nothing to read ahead.
+            let is_ended = upload.state() != UploadState::Incomplete;
+            if !has_room || is_ended && client.may_have_left() {
                 return false;
             }
             // What the client's socket still holds, and its close, arrive once there is room for them.
--- a/crates/agent/tests/loopback/repeated_ids.rs
+++ b/crates/agent/tests/loopback/repeated_ids.rs
@@ -230,3 +230,27 @@
         writing.join().unwrap();
     }
 }
+
+/// Guards against waiting for the rest of a body that has ended: behind it lie other requests, which are not read ahead.
+#[test]
+fn a_long_request_with_others_behind_it_does_not_wait_until_its_deadline() {
+    const BUDGET: Duration = Duration::from_secs(9);
+    let server = RecordServer::new(|_| ok("x"));
+    let draining = target("s", server.address, "DRAINING", 0);
+    let discovery = Discovery::new(draining.clone());
+    let agent = Agent::start(&config(discovery.address, &draining, SETTINGS, 1024));
+    let client = Client::connect(&agent);
+    let bytes = 100_000;
+    let text = long_head(bytes) + &"x".repeat(bytes) + &request("read", 9000).repeat(2000);
+    let mut output = client.stream.try_clone().unwrap();
+    let start = Instant::now();
+    let writing = thread::spawn(move || drop(output.write_all(text.as_bytes())));
+    thread::sleep(GONE_AFTER * 2);
+    discovery.set_targets(serving("s", server.address));
+    let mut client = client;
+    let status = client.read().map(|response| response.status());
+    assert_eq!(status, Some(503));
+    assert!(start.elapsed() < BUDGET / 2, "{:?}", start.elapsed());
+    let _ = client.stream.shutdown(std::net::Shutdown::Both);
+    writing.join().unwrap();
+}
