Connect to a predecessor's claims once, and drop the link to a process that does not read

Found on reading again. With several fronts a new process connected to its predecessor once for each, so a message that one process sent came back to it over the other connection: a late release could end a claim that had been made again. And the link to a process that reads nothing was given up but stayed open, with up to 1 MiB unsent.

Result: the tests of shared_claims check both; without the change the second waits in vain for the end of the link's task.

--- a/crates/agent/src/handover/shared_claims.rs
+++ b/crates/agent/src/handover/shared_claims.rs
@@ -41,12 +41,18 @@
         })
     }
 
-    /// Connects to the running process whose handover socket is at this path, and returns once its claims are known. Without such a
-    /// process, or if it shares no claims, there is nothing to wait for.
-    pub async fn join(self: &Rc<Self>, socket_path: &Path) {
-        if let Ok(stream) = UnixStream::connect(claims_path(socket_path)).await {
-            let link = self.add_link(stream);
-            let _ = timeout(RECEIVE_TIMEOUT, link.synchronized()).await;
+    /// Connects to the running process whose handover socket is at one of these paths, and returns once its claims are known. Without
+    /// such a process, or if it shares no claims, there is nothing to wait for.
+    ///
+    /// A process listens at one path for each of its fronts. Only one of them is connected to: over a second connection this process
+    /// would get its own messages back, late.
+    pub async fn join(self: &Rc<Self>, socket_paths: &[PathBuf]) {
+        for path in socket_paths {
+            if let Ok(stream) = UnixStream::connect(claims_path(path)).await {
+                let link = self.add_link(stream);
+                let _ = timeout(RECEIVE_TIMEOUT, link.synchronized()).await;
+                return;
+            }
         }
     }
 
--- a/crates/agent/src/handover/shared_claims/link.rs
+++ b/crates/agent/src/handover/shared_claims/link.rs
@@ -163,5 +163,7 @@
     fn close(&self) {
         self.is_closed.set(true);
         self.synchronized.notify_one();
+        // The task that serves the connection drops it.
+        self.has_unsent.notify_one();
     }
 }
--- a/crates/agent/src/handover/shared_claims/tests.rs
+++ b/crates/agent/src/handover/shared_claims/tests.rs
@@ -56,10 +56,11 @@
             (SharedClaims::new(1000), SharedClaims::new(1000), SharedClaims::new(1000));
         (0..CLAIMS).for_each(|number| assert!(first.claim(&id(number))));
         spawn_local(Rc::clone(&first).serve(SharedClaims::listen(&path).unwrap()));
-        second.join(&path).await;
+        second.join(&[path.clone(), path.clone()]).await;
+        assert_eq!(second.links.borrow().len(), 1, "of several paths one is used");
         assert!((0..CLAIMS).all(|number| second.is_claimed(&id(number))));
         spawn_local(Rc::clone(&second).serve(SharedClaims::listen(&path).unwrap()));
-        third.join(&path).await;
+        third.join(&[folder.join("none.sock"), path]).await;
         assert!(!third.claim(&id(CLAIMS - 1)));
         assert!(first.claim(&id(CLAIMS)));
         while !third.is_claimed(&id(CLAIMS)) {
@@ -80,7 +81,14 @@
             assert!(claims.claim(&id(number)));
         }
         assert_eq!(claims.links.borrow().len(), 0, "it has been given up");
-        drop(silent);
+        let task_ended = async {
+            while Rc::strong_count(&claims) > 1 {
+                yield_now().await;
+            }
+        };
+        timeout(Duration::from_secs(10), task_ended).await.expect("its task ends");
+        let end = std::io::Read::read_to_end(&mut silent.into_std().unwrap(), &mut Vec::new());
+        assert!(end.is_ok(), "its connection is closed: {end:?}");
         assert!(claims.claim(&id(200_000)));
     });
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -115,8 +115,8 @@
         if takeover.is_none() {
             takeover = handover::take_over(path, &peers).await;
         }
-        claims.join(path).await;
     }
+    claims.join(&socket_paths).await;
     // The agent is a fleet member only if its file has [fleet].
     let drained = config.fleet.as_ref().map(|_| watch::channel(BTreeSet::new()));
     // Until the number of processes is known, this one limits itself as if there were two of them.
