Treat a server whose address another one has taken as unavailable everywhere

Found on reading again: the same cause on related paths. - Such a server still counted as serving (readiness, dialects) and as having its capacity (disruption budgets). - It stayed hidden from the decision module when the other one left by a change that does not name it, for as long as no list did. - A health check that was sent to a former address counted for the server, although another one may have responded there.

Tests: three, each for one of these; the last failed without its change (seen), the first two check what did not exist. starts.rs gave all its servers one address; each has its own now, and its assertions are as before.

--- a/crates/engine/src/pool/health_checks.rs
+++ b/crates/engine/src/pool/health_checks.rs
@@ -16,8 +16,14 @@
         spawn_local(async move {
             let result = match endpoint {
                 Some(endpoint) => {
-                    let result = pool.0.upstream.health_check(endpoint).await;
-                    pool.0.state.borrow_mut().servers.end_use(server, result.outcome);
+                    let incarnation = endpoint.incarnation;
+                    let mut result = pool.0.upstream.health_check(endpoint).await;
+                    let servers = &mut pool.0.state.borrow_mut().servers;
+                    // Another server may have responded at the address.
+                    if !servers.is_at_its_address(server, incarnation) {
+                        result = Outcome::NotSent.into();
+                    }
+                    servers.end_use(server, result.outcome);
                     result
                 }
                 None => Outcome::NotSent.into(),
--- a/crates/engine/src/pool/tests.rs
+++ b/crates/engine/src/pool/tests.rs
@@ -425,3 +425,22 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// A health check that was sent to a server's former address says nothing about the server: another one may listen there.
+#[tokio::test]
+async fn a_health_check_at_a_former_address_does_not_count() {
+    const CHECKS: usize = 3;
+    let test = async {
+        for has_moved in [true, false] {
+            let pool = silent_pool();
+            pool.perform(vec![Action::HealthCheck { server: ServerId(0) }; CHECKS]);
+            let port = if has_moved { SERVER.1 + 1 } else { SERVER.1 };
+            pool.apply_endpoint_list(endpoint_list(&[(SERVER.0, port)]));
+            for _ in 0..CHECKS * 4 {
+                yield_now().await;
+            }
+            assert_eq!(pool.missing_capacity().is_empty(), has_moved, "moved: {has_moved}");
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/engine/src/servers/mod.rs
+++ b/crates/engine/src/servers/mod.rs
@@ -79,7 +79,7 @@
     }
 
     fn serving(&self) -> impl Iterator<Item = &Server<A>> {
-        self.servers.values().filter(|server| server.is_serving)
+        self.servers.values().filter(|server| server.is_serving && !self.is_superseded(server))
     }
 
     pub(crate) fn has_serving(&self) -> bool {
@@ -97,20 +97,22 @@
     }
 
     /// Returns whether a server is serving and still in this incarnation.
-    pub(crate) fn is_current(&self, server: ServerId, incarnation: Incarnation) -> bool {
+    pub(crate) fn is_current(&self, id: ServerId, incarnation: Incarnation) -> bool {
+        let server = self.servers.get(&id);
+        server.is_some_and(|server| server.is_serving) && self.is_at_its_address(id, incarnation)
+    }
+
+    /// Returns whether a server is still in this incarnation, and no other one has appeared at its address since.
+    pub(crate) fn is_at_its_address(&self, server: ServerId, incarnation: Incarnation) -> bool {
         let server = self.servers.get(&server);
-        server.is_some_and(|server| {
-            server.is_serving && server.endpoint.incarnation == incarnation && !self.is_superseded(server)
-        })
+        server.is_some_and(|server| server.endpoint.incarnation == incarnation && !self.is_superseded(server))
     }
 
     /// Returns whether the first byte of an attempt may still be written to a server in this incarnation, at the address
     /// that it had when the attempt began.
     pub(crate) fn may_send(&self, server: ServerId, incarnation: Incarnation, drain_grace: Duration) -> bool {
-        self.servers.get(&server).is_some_and(|server| {
-            let is_current = server.endpoint.incarnation == incarnation && !self.is_superseded(server);
-            is_current && server.may_send(drain_grace)
-        })
+        let is_open = self.servers.get(&server).is_some_and(|server| server.may_send(drain_grace));
+        is_open && self.is_at_its_address(server, incarnation)
     }
 
     /// Returns whether another server has appeared later at a server's address.
@@ -157,14 +159,17 @@
         }
     }
 
-    /// Returns the listed servers that are missing some of their capacity. A server that is draining or unreachable
-    /// is missing all of it. `capacity_share` returns the share of capacity, from 0 to 1, of a server that started at
+    /// Returns the listed servers that are missing some of their capacity. A server that is draining or unreachable, or
+    /// whose address another one has taken, is missing all of it. `capacity_share` returns the share of capacity, from 0 to 1, of a server that started at
     /// the given time.
     pub(crate) fn missing_capacity(&self, capacity_share: impl Fn(Time) -> f64) -> Vec<MissingCapacity> {
         let known = self.ids.iter().filter_map(|(name, id)| Some((name, self.servers.get(id)?)));
         let listed = known.filter(|(_, server)| !server.is_removed);
         listed
-            .map(|(name, server)| (name, server.missing_share(&capacity_share)))
+            .map(|(name, server)| match self.is_superseded(server) {
+                true => (name, 1.0),
+                false => (name, server.missing_share(&capacity_share)),
+            })
             .filter(|(_, share)| *share > 0.0)
             .map(|(name, share)| MissingCapacity { server: name.clone(), share })
             .collect()
@@ -215,25 +220,28 @@
         endpoints
     }
 
-    /// Marks the servers as removed, for the decision module, whose address another server has taken.
+    /// Marks the servers as removed, for the decision module, whose address another server has taken, and restores those
+    /// whose address is their own again. A list need not name them for either.
     fn hide_superseded(&mut self, endpoints: &mut Vec<Endpoint>, mut close_idle: impl FnMut(ServerId)) {
         let is_hidden = |server: &&Server<A>| !server.is_removed && self.is_superseded(server);
         let hidden: HashSet<ServerId> =
             self.servers.values().filter(is_hidden).map(|server| server.endpoint.server).collect();
-        if hidden.is_empty() {
-            return;
-        }
         let removed = |endpoint: &Endpoint| Endpoint { status: Status::Removed, ..endpoint.clone() };
         for endpoint in endpoints.iter_mut().filter(|endpoint| hidden.contains(&endpoint.server)) {
             *endpoint = removed(endpoint);
         }
         for (id, server) in &mut self.servers {
-            if hidden.contains(id) && !std::mem::replace(&mut server.is_hidden, true) {
+            let was_hidden = std::mem::replace(&mut server.is_hidden, hidden.contains(id));
+            if was_hidden == server.is_hidden || server.is_removed {
+                continue;
+            }
+            if server.is_hidden {
                 close_idle(*id);
-                // Its address may have been taken by a list that does not name it.
-                if !endpoints.iter().any(|endpoint| endpoint.server == *id) {
-                    endpoints.extend(server.entry.as_ref().map(removed));
-                }
+            }
+            if !endpoints.iter().any(|endpoint| endpoint.server == *id) {
+                let entry = server.entry.as_ref();
+                endpoints
+                    .extend(entry.map(|entry| if server.is_hidden { removed(entry) } else { entry.clone() }));
             }
         }
     }
@@ -295,7 +303,6 @@
         };
         if let Some(server) = self.servers.get_mut(&id) {
             server.entry = Some(entry.clone());
-            server.is_hidden = false;
         }
         Some(entry)
     }
--- a/crates/engine/src/servers/tests.rs
+++ b/crates/engine/src/servers/tests.rs
@@ -190,6 +190,9 @@
         assert!(!servers.may_send(old_id, Incarnation(0), grace));
         assert!(servers.may_send(new_id, Incarnation(0), grace));
         assert!(!servers.is_current(old_id, Incarnation(0)) && servers.is_current(new_id, Incarnation(0)));
+        let missing = servers.missing_capacity(|_| 1.0);
+        let names: Vec<&str> = missing.iter().map(|missing| &*missing.server).collect();
+        assert_eq!(names, ["old"], "it counts as unavailable");
         // A list that repeats both changes nothing.
         servers.apply(list(3, true, vec![new(), old()]), |_| {});
         assert!(!servers.may_send(old_id, Incarnation(0), grace));
--- a/crates/engine/tests/starts.rs
+++ b/crates/engine/tests/starts.rs
@@ -31,11 +31,11 @@
     fn close_stale(&self, _: &dyn Fn(ServerId, Incarnation) -> bool) {}
 }
 
-/// Creates an endpoint for each name, with the reported start as Unix time.
+/// Creates an endpoint for each name, at an address of its own, with the reported start as Unix time.
 fn endpoints(servers: &[(&str, Option<i64>)]) -> Vec<EndpointInfo<u16>> {
     let endpoint = |&(name, reported_us): &(&str, Option<i64>)| EndpointInfo {
         started_at: reported_us.map(|us| Time(us as u64)),
-        ..EndpointInfo::serving(name, 80)
+        ..EndpointInfo::serving(name, u16::from(name.as_bytes()[0]))
     };
     servers.iter().map(endpoint).collect()
 }
