Wait for the whole of a response that has to be translated

Found on reading again, on a related path: a response without a length that its server writes slowly is forwarded in part. One that is translated between the dialects can't be, and became a 502 after 1 s (after 50 ms if over 4 KiB had come, already before).

Change: a request knows the dialect of its client; a response in another one is read to its end, until the time of its attempt is up.

Result: a_slow_response_without_a_length_is_translated_once_it_is_whole got a 502 before.

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -53,6 +53,8 @@
     pub client_timeout: Duration,
     /// Counts the request's attempts; `None` for probes.
     pub counters: Option<Rc<ClassCounters>>,
+    /// The dialect of the client. A response in another one is translated, which takes all of it.
+    pub client_dialect: DialectId,
     /// The connection of the client that waits for the response; `None` for probes.
     pub client: Option<ClientPresence>,
     /// The memory reserved for the body.
@@ -410,7 +412,8 @@
         let send_and_read = async {
             let response =
                 sender.try_send_request(http_request).await.map_err(|_| ExchangeError::Connection)?;
-            self.read(response, &monitor, endpoint.dialect, &arrival).await
+            let is_translated = endpoint.dialect != request.client_dialect;
+            self.read(response, &monitor, (endpoint.dialect, is_translated), &arrival).await
         };
         let watching = watch_response(
             &monitor,
@@ -450,6 +453,7 @@
             legacy,
             client_timeout,
             counters: None,
+            client_dialect: endpoint.dialect,
             client: None,
             _reservation: None,
         };
--- a/crates/agent/src/backend/response_reader.rs
+++ b/crates/agent/src/backend/response_reader.rs
@@ -86,12 +86,12 @@
 impl Inner {
     /// Reads a response. A short one is read to its end, so that an invalid one is not forwarded; a long one only until it is
     /// known to be long. One whose length is not known counts as long when the time of the attempt is up, or when it has been held
-    /// back for long.
+    /// back for long, unless it is translated for its client.
     pub(super) async fn read(
         &self,
         response: Response<Incoming>,
         monitor: &StreamMonitor,
-        dialect: DialectId,
+        (dialect, is_translated): (DialectId, bool),
         arrival: &ResponseArrival<'_>,
     ) -> Result<AttemptResult, ExchangeError> {
         let (head, mut body) = response.into_parts();
@@ -102,16 +102,18 @@
         if let Some(length) = length.filter(|_| !is_long) {
             reservation.shrink(length as usize);
         }
-        let can_forward_part = head.status == StatusCode::OK && (is_long || length.is_none());
+        let can_forward_part =
+            head.status == StatusCode::OK && !is_translated && (is_long || length.is_none());
         let mut buffered = BodyBuffer::default();
         let (mut is_complete, mut start) = (false, None);
         while buffered.len() <= MAX_BUFFERED_BYTES && (buffered.is_empty() || !is_long) {
             // A body that keeps arriving slowly may be long too; one that has stalled is not forwarded.
             let start = *start.get_or_insert_with(Instant::now);
-            if length.is_none() && buffered.len() > MIN_STREAMING_BYTES && start.elapsed() > STREAMING_DELAY {
+            let is_probably_long = can_forward_part && (is_long || buffered.len() > MIN_STREAMING_BYTES);
+            if is_probably_long && length.is_none() && start.elapsed() > STREAMING_DELAY {
                 break;
             }
-            arrival.is_long.set(can_forward_part && (is_long || buffered.len() > MIN_STREAMING_BYTES));
+            arrival.is_long.set(is_probably_long);
             let frame = tokio::select! {
                 biased;
                 frame = body.frame() => frame,
--- a/crates/agent/src/backend/tests.rs
+++ b/crates/agent/src/backend/tests.rs
@@ -30,6 +30,7 @@
         legacy: None,
         client_timeout: Duration::from_secs(60),
         counters: None,
+        client_dialect: NEW,
         client: None,
         _reservation: None,
     }
--- a/crates/agent/src/intake.rs
+++ b/crates/agent/src/intake.rs
@@ -4,6 +4,7 @@
 use crate::body_buffer::BodyBuffer;
 use crate::client_connections::ClientConnection;
 use crate::client_presence::ClientPresence;
+use crate::dialect::NEW;
 use crate::metrics::ClassCounters;
 use crate::upload::{BodyReader, RequestBody, Upload, UploadError, MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use heronhoist_decision::{ClassId, Dialects, Effect, KeyId, Span, TenantId};
@@ -197,6 +198,7 @@
             legacy: None,
             client_timeout,
             counters: Some(Rc::clone(&class.counters)),
+            client_dialect: NEW,
             client: Some(ClientPresence::new(connection.monitor().clone())),
             _reservation: Some(reservation),
         };
--- a/crates/agent/src/legacy.rs
+++ b/crates/agent/src/legacy.rs
@@ -4,7 +4,7 @@
 use crate::body_buffer::BodyBuffer;
 use crate::client_connections::ClientConnection;
 use crate::client_presence::ClientPresence;
-use crate::dialect::{self, SOAP_ACTION};
+use crate::dialect::{self, OLD, SOAP_ACTION};
 use crate::intake::{body_error, check_end, discard_body, Catalogue, Class, CALL_ID, IDEMPOTENCY_KEY};
 use crate::pools::HttpPool;
 use crate::upload::{BodyReader, RequestBody, MAX_BUFFERED_BYTES};
@@ -235,6 +235,7 @@
         legacy: None,
         client_timeout,
         counters: Some(Rc::clone(&class.counters)),
+        client_dialect: OLD,
         client: None,
         _reservation: None,
     };
--- a/crates/agent/tests/loopback/legacy.rs
+++ b/crates/agent/tests/loopback/legacy.rs
@@ -303,3 +303,24 @@
         assert!(errors.contains(expected) && errors.lines().count() <= 1, "{errors}");
     }
 }
+
+/// Guards against forwarding a part of a response that has to be translated: only all of it can be. Its server writes it slowly and
+/// states no length.
+#[test]
+fn a_slow_response_without_a_length_is_translated_once_it_is_whole() {
+    let server = RecordServer::new(|_| {
+        let mut parts = vec!["HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_string()];
+        let chunks = OBSERVED.as_bytes().chunks(OBSERVED.len().div_ceil(5));
+        parts.extend(
+            chunks.map(|chunk| format!("{:x}\r\n{}\r\n", chunk.len(), String::from_utf8_lossy(chunk))),
+        );
+        parts.push("0\r\n\r\n".into());
+        Action::RespondInParts(parts)
+    });
+    let agent = start(&server);
+    let query = "STN=KMIA&BEG=03%2F08%2F2026+01%3A59&END=03%2F08%2F2026+03%3A00&WHAT=W&CLERK=Ann";
+    let response =
+        Client::connect(&agent).exchange(&format!("GET /desk/lookup.cgi?{query} HTTP/1.0\r\n\r\n"));
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.body, b"H|KMIA|Miami|\r\nOBS|06/01/2026 00:30:15|77|10||G|\r\nT|2\r\n");
+}
