Give the reading of arrived data more time before something is sent

Found on reading again: it bounds all waits for data that has arrived to 30 ms. A timeout may expire then, but before something is sent, an endpoint list that came during a stall has to be read, and on a part of a processor that takes longer: a request could go to a server that drains.

--- a/crates/engine/src/timing.rs
+++ b/crates/engine/src/timing.rs
@@ -23,9 +23,13 @@
 const MIN_CATCH_UP_YIELDS: u32 = 4;
 /// The same after a stall, when there is more to read: a list of thousands of entries arrives in dozens of chunks.
 const MAX_CATCH_UP_YIELDS: u32 = 128;
-/// After this time and [`MIN_CATCH_UP_YIELDS`] no more yields follow. In a busy event loop each yield takes long, and a
+/// After this time and [`MIN_CATCH_UP_YIELDS`] a due timeout expires. In a busy event loop each yield takes long, and a
 /// final response must not be late by many of them.
-const MAX_CATCH_UP_DURATION: Duration = Duration::from_millis(30);
+const MAX_TIMEOUT_DELAY: Duration = Duration::from_millis(30);
+/// The same for [`catch_up`], on which more depends: nothing may be sent by an endpoint list that a newer one, which has
+/// arrived, replaces. It is shorter than the time after which a heartbeat is late, so that a busy event loop does not
+/// count as stalled all the time.
+const MAX_CATCH_UP_DURATION: Duration = MAX_HEARTBEAT_DELAY;
 
 thread_local! {
     /// When the event loop of this thread last ran and had read all available data; `None` if there are no
@@ -50,14 +54,14 @@
 /// Returns at once while the event loop is running; after a stall, once the data that arrived meanwhile has been
 /// processed, or after a short time if the event loop is busy.
 pub async fn catch_up() {
-    yield_while(|| stalled_since().is_some()).await;
+    yield_while(MAX_CATCH_UP_DURATION, || stalled_since().is_some()).await;
 }
 
-/// Yields to the event loop while `condition` holds, within the limits of a catch-up.
-async fn yield_while(condition: impl Fn() -> bool) {
+/// Yields to the event loop while `condition` holds, for about `max_duration`.
+async fn yield_while(max_duration: Duration, condition: impl Fn() -> bool) {
     let start = Instant::now();
     for yields in 0..MAX_CATCH_UP_YIELDS {
-        let is_out_of_time = yields >= MIN_CATCH_UP_YIELDS && start.elapsed() >= MAX_CATCH_UP_DURATION;
+        let is_out_of_time = yields >= MIN_CATCH_UP_YIELDS && start.elapsed() >= max_duration;
         if is_out_of_time || !condition() {
             return;
         }
@@ -69,7 +73,7 @@
 async fn yield_to_event_loop(due: Instant) {
     let has_stalled = due.elapsed() > MAX_HEARTBEAT_DELAY || stalled_since().is_some();
     if has_stalled {
-        yield_while(|| true).await;
+        yield_while(MAX_TIMEOUT_DELAY, || true).await;
         return;
     }
     for _ in 0..MIN_CATCH_UP_YIELDS {
--- a/crates/engine/src/timing/tests.rs
+++ b/crates/engine/src/timing/tests.rs
@@ -188,3 +188,27 @@
         beating.abort();
     });
 }
+
+/// After a stall, what has arrived may take many turns to read, of which each takes a while on a slow processor. Nothing may be sent
+/// before.
+#[test]
+fn catch_up_waits_for_data_that_takes_many_turns() {
+    const TURNS: u32 = 20;
+    LAST_HEARTBEAT.set(None);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.unwrap(), async {
+        heartbeat().await;
+        std::thread::sleep(HEARTBEAT_INTERVAL + MAX_HEARTBEAT_DELAY * 2);
+        let turns = Rc::new(Cell::new(0));
+        let counter = Rc::clone(&turns);
+        spawn_local(async move {
+            while counter.get() < TURNS {
+                std::thread::sleep(Duration::from_millis(2));
+                counter.set(counter.get() + 1);
+                yield_now().await;
+            }
+        });
+        catch_up().await;
+        assert_eq!(turns.get(), TURNS);
+    });
+}
